Relay: the first reply comes before second attempts are due

Cause: a host that calls no server itself had no latency to go by, so that a relay with one silent server held all parts back for 0.4 of the objective, the moment at which the front's hedges are due: 90 of 90 shards were asked twice. Ruled out: a slow way between hosts (replies of relays whose servers all answered came in 30 ms). Change: the relay's wait has a cap of its own (0.2 of the objective) and follows the latency at the servers, which relays report; later replies are merged too.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -205,3 +205,15 @@
 		assert.Equal(t, w.hosts["host2"].control.view().count, 2, "peers no longer find it")
 	})
 }
+
+// A relay once held back all parts until the moment at which their second
+// attempts were due, if one of its servers was silent: on the bench 90 of 90
+// shards were asked twice.
+func TestOneSilentServerOfARelayCostsOneHedge(t *testing.T) {
+	inWorld(t, shardedConfig(1, 6), serversOf(shardNames(6), "b1", "c1"), threeRegions, func(w *world) {
+		w.leafs.set("shard0@b1", silent)
+		w.leafs.set("shard0@c1", silent)
+		w.ask("host1", "/q/x")
+		assert.Equal(t, w.leafs.arrivals("shard"), 6+1)
+	})
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -62,7 +62,9 @@
 }
 
 type latencyKey struct {
-	route   string
+	route string
+	// relayed is the time until a relay's reply came here; otherwise that from
+	// the call of a server to its reply, wherever the call was made.
 	relayed bool
 }
 
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -22,6 +22,9 @@
 	maxRefusals = 4
 	// hedgeCap bounds the delay before a hedge, as a share of the objective.
 	hedgeCap = 0.4
+	// softCap bounds for how long a relay gathers before its first reply, as a
+	// share of the objective.
+	softCap = 0.2
 	// lingerTime is for how long calls whose answer came too late may still
 	// run, so that their connections can be used again.
 	lingerTime = 250 * time.Millisecond
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,15 @@
 	"github.com/mallowgap/mallowgap/fanout"
 )
 
+const (
+	// laterReplies is how many times more often a relay replies after the soft
+	// timeout than before it.
+	laterReplies = 4
+	// leastReplyGap is the least time between two replies, so that parts that
+	// come close together are merged.
+	leastReplyGap = 4 * time.Millisecond
+)
+
 // Gather implements the relay protocol: it calls the servers named and merges
 // their parts. It chooses nothing and repeats nothing.
 func (g *Gateway) Gather(m *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
@@ -23,22 +32,23 @@
 		go func() { results <- indexed{i, g.relayOne(ctx, id, r, timeout)} }()
 	}
 	gathered := &gathering{top: int(m.GetTop()), open: len(m.GetServerIds())}
-	soft := time.NewTimer(time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond)
+	wait := time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond
+	soft := time.NewTimer(wait)
 	defer soft.Stop()
-	due := false
 	for gathered.open > 0 {
 		select {
 		case one := <-results:
 			gathered.add(one)
 		case <-soft.C:
-			due = true
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if due && gathered.open > 0 && len(gathered.results) > 0 {
+			soft.Reset(max(wait/laterReplies, leastReplyGap))
+			if len(gathered.results) == 0 || gathered.open == 0 {
+				continue
+			}
 			if err := stream.Send(gathered.flush(false)); err != nil {
 				return err
 			}
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 	return stream.Send(gathered.flush(true))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -126,7 +126,7 @@
 // enough for most calls, so that they are merged, and short enough for a hedge
 // and for the answer.
 func (q *query) softTimeout(now time.Time) time.Duration {
-	return q.gateway.latency.delay(latencyKey{q.entry.Name, false}, time.Duration(hedgeCap*float64(q.objective)))
+	return q.gateway.latency.delay(latencyKey{q.entry.Name, false}, time.Duration(softCap*float64(q.objective)))
 }
 
 // relayCall follows one call of a relay. Its fields belong to the goroutine of
@@ -200,7 +200,9 @@
 	}
 	a.call.end(told, elapsed, now)
 	if told == callServed {
-		rc.query.gateway.latency.observe(latencyKey{rc.query.entry.Name, true}, elapsed)
+		name := rc.query.entry.Name
+		rc.query.gateway.latency.observe(latencyKey{name, true}, elapsed)
+		rc.query.gateway.latency.observe(latencyKey{name, false}, time.Duration(r.GetElapsedUs())*time.Microsecond)
 	}
 	countAttempt(a.kind, r.GetOutcome().String())
 	return out
