One host of a region reads the store; the others follow it

Ruled out: longer waits of the watch (the changes, not the waits, end them); hosts that learn only by polling peers (a change must be in force in 3 s). Change: the strongest host of a region watches, the others hold a stream to it with a heartbeat of 400 ms that tells how old its knowledge is. A follower goes to the store by itself when the stream is silent, stale, or says that the store is lost. TestOneHostOfARegionReadsTheStore, and followers whose leader is cut off, cut from the store or leaves.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -19,6 +19,8 @@
 	// hostGrace is for how long after the store's return a host whose lease
 	// ended in the outage may announce itself again: two renewals.
 	hostGrace = 8 * time.Second
+	// maxRemovals bounds the removals kept for followers.
+	maxRemovals = 2000
 )
 
 // control owns the control state. Only its goroutine touches the fields below
@@ -44,10 +46,18 @@
 	trustHosts time.Time
 	// entries holds every entry as the store has it, for peers that cannot
 	// read the store.
-	entries   map[entryKey]Entry
-	revision  uint64
-	storeLost time.Time
-	stopping  bool
+	entries map[entryKey]Entry
+	// removals are the latest removals, oldest first; those up to revision
+	// removalsFrom are forgotten.
+	removals     []Entry
+	removalsFrom uint64
+	revision     uint64
+	storeLost    time.Time
+	// contact is when the store was last heard from, here or by others.
+	contact  time.Time
+	stopping bool
+	// changed is closed when there is something new to tell followers.
+	changed chan struct{}
 }
 
 type entryKey struct {
@@ -65,6 +75,7 @@
 		name: name, decode: decode, fleet: f, relays: relays, log: log,
 		actions:  make(chan func()),
 		registry: discovery.NewRegistry(), hosts: map[string]host{}, lapsed: map[string]bool{}, entries: map[entryKey]Entry{},
+		changed: make(chan struct{}),
 	}
 	c.current.Store(&view{hosts: map[string][]host{}})
 	return c
@@ -135,6 +146,9 @@
 		}
 	}
 	c.applyEntries(append(removed, r.Entries...), now)
+	if !c.registry.Loaded() {
+		c.removalsFrom = r.Revision
+	}
 	c.registry.Complete()
 	c.revision = max(c.revision, r.Revision)
 	c.publish(now)
@@ -158,6 +172,7 @@
 		}
 		if e.Removed {
 			delete(c.entries, key)
+			c.keepRemoval(e)
 		} else {
 			c.entries[key] = e
 		}
@@ -165,6 +180,14 @@
 	}
 }
 
+func (c *control) keepRemoval(e Entry) {
+	c.removals = append(c.removals, e)
+	if over := len(c.removals) - maxRemovals; over > 0 {
+		c.removalsFrom = c.removals[over-1].Revision
+		c.removals = append([]Entry(nil), c.removals[over:]...)
+	}
+}
+
 func (c *control) applyEntry(e Entry, now time.Time) {
 	switch e.Kind {
 	case relaypb.EntryKind_CONFIG:
@@ -232,8 +255,11 @@
 	c.log.Info().Str("peer", e.Name).Str("domain", h.GetDomain()).Msg("peer registered")
 }
 
-// storeIs notes whether the store answers.
-func (c *control) storeIs(up bool, cause error, now time.Time) {
+// storeIs notes whether the store answers. heard is when it last did.
+func (c *control) storeIs(up bool, cause error, heard, now time.Time) {
+	if heard.After(c.contact) {
+		c.contact = heard
+	}
 	if !up {
 		c.registry.StoreLost()
 		if c.storeLost.IsZero() {
@@ -266,17 +292,37 @@
 	c.fleet.update(c.registry.Servers(), conns, now)
 	c.fleet.setShares(conns)
 	c.current.Store(v)
+	close(c.changed)
+	c.changed = make(chan struct{})
 }
 
-// snapshot returns everything known, if it is newer than a revision.
-func (c *control) snapshot(known uint64) Reading {
-	r := Reading{}
+// news is what a follower has not heard yet.
+type news struct {
+	Reading
+	complete  bool
+	age       time.Duration
+	storeLost bool
+	changed   <-chan struct{}
+}
+
+// newsSince returns what changed since a revision, or everything where that is
+// no longer known.
+func (c *control) newsSince(known uint64, now time.Time) news {
+	n := news{age: now.Sub(c.contact), storeLost: !c.storeLost.IsZero(), changed: c.changed}
+	n.Revision = c.revision
 	if c.revision <= known || !c.registry.Loaded() {
-		return r
+		return n
 	}
-	r.Revision = c.revision
+	n.complete = known < c.removalsFrom || known == 0
 	for _, e := range c.entries {
-		r.Entries = append(r.Entries, e)
+		if n.complete || e.Revision > known {
+			n.Entries = append(n.Entries, e)
+		}
+	}
+	for _, e := range c.removals {
+		if !n.complete && e.Revision > known {
+			n.Entries = append(n.Entries, e)
+		}
 	}
-	return r
+	return n
 }
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+)
+
+const (
+	// heartbeat is the interval at which a follower hears from the host that it
+	// follows although nothing changed.
+	heartbeat = 400 * time.Millisecond
+	// silenceLimit is for how long a followed host may be silent: three
+	// heartbeats. With one call of the store after it, a change is still in
+	// force everywhere within the three seconds that the users allow.
+	silenceLimit = 3 * heartbeat
+	// ageLimit bounds how long ago a followed host heard from the store: the
+	// longest watch and what it may take to notice that it hangs.
+	ageLimit = 1500 * time.Millisecond
+	// probeEvery is the mean interval at which a follower asks the store itself
+	// while the host that it follows says that the store is lost.
+	probeEvery = 2 * time.Second
+	// probeWait is the wait of such a question.
+	probeWait = time.Millisecond
+)
+
+var (
+	errLeaderSilent = errors.New("nothing was heard from it")
+	errLeaderStale  = errors.New("it has not heard from the store for too long")
+	errLeaderCut    = errors.New("it lost the store, which answers here")
+)
+
+// leader returns the host of this region that this host follows. It returns
+// false where this host is to read the store: it is the first of the region, in
+// the order of strength and name, of those that answer.
+func (g *Gateway) leader(now time.Time) (host, bool) {
+	if !g.loaded {
+		return host{}, false
+	}
+	for _, h := range g.control.view().inRegion(g.self.GetRegion()) {
+		if h.name == g.name {
+			return host{}, false
+		}
+		if !g.peers.suspected(h.address, now) {
+			return h, true
+		}
+	}
+	return host{}, false
+}
+
+// inRegion returns the hosts of a region, the strongest first.
+func (v *view) inRegion(region string) []host {
+	var hosts []host
+	for _, group := range v.hosts {
+		for _, h := range group {
+			if h.region == region {
+				hosts = append(hosts, h)
+			}
+		}
+	}
+	slices.SortFunc(hosts, func(a, b host) int {
+		if c := cmp.Compare(b.strength, a.strength); c != 0 {
+			return c
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	return hosts
+}
+
+// followLeader takes in what another host learns, until that host is of no use.
+func (g *Gateway) followLeader(ctx context.Context, leader host) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	received := make(chan *relaypb.FollowReply)
+	failed := make(chan error, 1)
+	go func() {
+		failed <- g.edges.Peers.Follow(ctx, leader.address, &relaypb.FollowRequest{Revision: g.followed}, func(r *relaypb.FollowReply) {
+			select {
+			case received <- r:
+			case <-ctx.Done():
+			}
+		})
+	}()
+	nextProbe := time.Time{}
+	for {
+		select {
+		case reply := <-received:
+			if err := g.takeNews(ctx, reply, &nextProbe); err != nil {
+				return err
+			}
+		case err := <-failed:
+			return err
+		case <-time.After(silenceLimit):
+			return errLeaderSilent
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// takeNews takes in one message of the host that is followed.
+func (g *Gateway) takeNews(ctx context.Context, reply *relaypb.FollowReply, nextProbe *time.Time) error {
+	now := time.Now()
+	age := time.Duration(reply.GetAgeUs()) * time.Microsecond
+	reading := Reading{Revision: reply.GetRevision(), Entries: decodeEntries(reply.GetEntries())}
+	g.control.do(ctx, func() {
+		g.control.storeIs(!reply.GetStoreLost(), errLeaderStale, now.Add(-age), now)
+		if reply.GetComplete() {
+			g.control.applyReading(reading, now)
+		} else {
+			g.control.applyChanges(reading, now)
+		}
+	})
+	g.followed = max(g.followed, reading.Revision)
+	if reply.GetStoreLost() {
+		return g.probeStore(ctx, now, nextProbe)
+	}
+	*nextProbe = time.Time{}
+	if age > ageLimit {
+		return errLeaderStale
+	}
+	return nil
+}
+
+// probeStore asks the store from time to time whether it is lost only for the
+// host that is followed.
+func (g *Gateway) probeStore(ctx context.Context, now time.Time, next *time.Time) error {
+	if now.Before(*next) {
+		return nil
+	}
+	*next = now.Add(probeEvery/2 + rand.N(probeEvery))
+	if err := g.watch(ctx, probeWait, g.settings.GetStore().GetWatchSlack().AsDuration()); err != nil {
+		return nil // The store is lost here too; what is known stays in force.
+	}
+	return errLeaderCut
+}
+
+// Follow implements the relay protocol.
+func (g *Gateway) Follow(m *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
+	ctx := stream.Context()
+	known := m.GetRevision()
+	for ctx.Err() == nil {
+		var n news
+		g.control.do(ctx, func() { n = g.control.newsSince(known, time.Now()) })
+		if ctx.Err() != nil {
+			break
+		}
+		reply := &relaypb.FollowReply{
+			Revision: max(n.Revision, known), Entries: encodeEntries(n.Entries), Complete: n.complete,
+			AgeUs: uint64(max(n.age, 0).Microseconds()), StoreLost: n.storeLost,
+		}
+		if err := stream.Send(reply); err != nil {
+			return err
+		}
+		known = reply.Revision
+		timer := time.NewTimer(heartbeat)
+		select {
+		case <-n.changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -149,16 +149,16 @@
 
 func TestFarShardsGoThroughARelay(t *testing.T) {
 	inWorld(t, shardedConfig(1, 6), serversOf(shardNames(6), "b1"), threeRegions, func(w *world) {
-		before := w.peers.calls
+		before := w.peers.gathers.Load()
 		a := w.ask("host1", "/q/x")
 		assert.Equal(t, a.Gathered.Missing, 0)
-		assert.Equal(t, w.peers.calls-before, 1, "one message for all shards")
+		assert.Equal(t, w.peers.gathers.Load()-before, int64(1), "one message for all shards")
 	})
 }
 
 func TestLostRelayCostsNoAnswer(t *testing.T) {
 	inWorld(t, shardedConfig(1, 6), serversOf(shardNames(6), "b1", "c1"), threeRegions, func(w *world) {
-		w.peers.cut[w.hosts["host2"].self.GetAddress()] = true
+		w.peers.cutOff(w.hosts["host2"])
 		for range 10 {
 			a := w.ask("host1", "/q/x")
 			assert.Equal(t, a.Outcome, Gathered)
@@ -217,3 +217,51 @@
 		assert.Equal(t, w.leafs.arrivals("shard"), 6+1)
 	})
 }
+
+var oneRegion = []hostSpec{{"host1", "a1", "a"}, {"host2", "a1", "a"}, {"host3", "a2", "a"}, {"host4", "a2", "a"}}
+
+// Each host once watched the store by itself, and each change woke all of them:
+// 60 hosts made 11,884 calls on a calm day.
+func TestOneHostOfARegionReadsTheStore(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneRegion, func(w *world) {
+		time.Sleep(5 * time.Second)
+		before := w.store.calls
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, w.store.calls-before < 20, "%d calls", w.store.calls-before)
+	})
+}
+
+// inForce changes the configuration and reports after what time the host has it.
+func inForce(w *world, host string, version uint64) time.Duration {
+	start := time.Now()
+	w.store.putConfig(shardedConfig(version, 1))
+	for time.Since(start) < 10*time.Second {
+		if table := w.hosts[host].control.view().table; table != nil && table.Version() >= version {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func TestFollowersLearnInTimeWhateverBecomesOfTheLeader(t *testing.T) {
+	for name, fault := range map[string]func(w *world, leader *Gateway){
+		"none":    func(*world, *Gateway) {},
+		"cut off": func(w *world, leader *Gateway) { w.peers.cutOff(leader) },
+		"cut from the store": func(w *world, leader *Gateway) {
+			leader.edges.Store.(*partedStore).parted.Store(true)
+		},
+		"leaves": func(w *world, leader *Gateway) { leader.Leave(w.ctx) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneRegion, func(w *world) {
+				time.Sleep(3 * time.Second)
+				fault(w, w.hosts["host1"])
+				took := inForce(w, "host3", 2)
+				assert.Assert(t, took < 3*time.Second, "%v", took)
+				took = inForce(w, "host4", 3)
+				assert.Assert(t, took < 3*time.Second, "%v", took)
+			})
+		})
+	}
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -134,6 +134,13 @@
 	return best, found
 }
 
+// suspected reports whether a peer did not answer of late.
+func (p *peerHealth) suspected(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.until[address])
+}
+
 func (p *peerHealth) start(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -16,6 +16,9 @@
 	// that failed is made again.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = 800 * time.Millisecond
+	// watchGap is the least time between two watches, so that changes that come
+	// close together cost one call.
+	watchGap = 100 * time.Millisecond
 	// peerPoll is the interval at which peers are asked while the store is away.
 	peerPoll = 700 * time.Millisecond
 	// peerTimeout bounds a question to a peer.
@@ -24,26 +27,34 @@
 	renewals = 3
 )
 
-// followStore reads the store and follows its changes until ctx ends.
+// followStore follows the store's changes until ctx ends: through another host
+// of the region where one does so already, else by itself.
 func (g *Gateway) followStore(ctx context.Context) {
 	wait := retryFirst
 	for ctx.Err() == nil {
+		if leader, ok := g.leader(time.Now()); ok {
+			err := g.followLeader(ctx, leader)
+			if ctx.Err() != nil {
+				return
+			}
+			g.log.Info().Err(err).Str("peer", leader.name).Msg("the host that was followed is not up to date: reading the store")
+			g.peers.suspect(leader.address, time.Now())
+		}
 		err := g.followOnce(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, ErrCompacted) {
-			g.log.Info().Msg("the store compacted its history: reading everything again")
+			g.log.Info().Uint64("revision", g.followed).Msg("the store compacted its history: reading everything again")
 			g.counters.storeRereads.Inc()
-			wait = retryFirst
-			g.readAll(ctx)
+			g.loaded = false
 			continue
 		}
 		if err == nil {
 			wait = retryFirst
 			continue
 		}
-		g.control.do(ctx, func() { g.control.storeIs(false, err, time.Now()) })
+		g.control.do(ctx, func() { g.control.storeIs(false, err, time.Time{}, time.Now()) })
 		sleep(ctx, wait)
 		wait = min(2*wait, retryLongest)
 	}
@@ -56,35 +67,31 @@
 		return g.read(ctx)
 	}
 	settings := g.settings.GetStore()
-	wait := settings.GetWatchWait().AsDuration()
-	callCtx, cancel := context.WithTimeout(ctx, wait+settings.GetCallTimeout().AsDuration())
+	started := time.Now()
+	err := g.watch(ctx, settings.GetWatchWait().AsDuration(), settings.GetWatchSlack().AsDuration())
+	if err == nil {
+		sleep(ctx, watchGap-time.Since(started))
+	}
+	return err
+}
+
+// watch waits for changes and takes them in.
+func (g *Gateway) watch(ctx context.Context, wait, slack time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	changes, err := g.edges.Store.Watch(callCtx, g.followed, wait)
 	if err != nil {
 		return err
 	}
+	now := time.Now()
 	g.control.do(ctx, func() {
-		g.control.storeIs(true, nil, time.Now())
-		g.control.applyChanges(changes, time.Now())
+		g.control.storeIs(true, nil, now, now)
+		g.control.applyChanges(changes, now)
 	})
 	g.followed = max(g.followed, changes.Revision)
 	return nil
 }
 
-// readAll reads everything until it succeeds.
-func (g *Gateway) readAll(ctx context.Context) {
-	wait := retryFirst
-	for ctx.Err() == nil {
-		err := g.read(ctx)
-		if err == nil {
-			return
-		}
-		g.control.do(ctx, func() { g.control.storeIs(false, err, time.Now()) })
-		sleep(ctx, wait)
-		wait = min(2*wait, retryLongest)
-	}
-}
-
 func (g *Gateway) read(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, 2*g.settings.GetStore().GetCallTimeout().AsDuration())
 	defer cancel()
@@ -92,9 +99,10 @@
 	if err != nil {
 		return err
 	}
+	now := time.Now()
 	g.control.do(ctx, func() {
-		g.control.storeIs(true, nil, time.Now())
-		g.control.applyReading(reading, time.Now())
+		g.control.storeIs(true, nil, now, now)
+		g.control.applyReading(reading, now)
 	})
 	g.followed = reading.Revision
 	g.loaded = true
@@ -146,23 +154,35 @@
 	if reply.GetRevision() <= known {
 		return
 	}
-	reading := Reading{Revision: reply.GetRevision()}
-	for _, e := range reply.GetEntries() {
-		reading.Entries = append(reading.Entries, Entry{Kind: e.GetKind(), Name: e.GetName(), Value: e.GetValue(), Revision: e.GetRevision()})
-	}
+	reading := Reading{Revision: reply.GetRevision(), Entries: decodeEntries(reply.GetEntries())}
 	g.log.Info().Str("peer", address).Uint64("revision", reading.Revision).Uint64("known", known).Msg("learned from a peer while the store is away")
 	g.control.do(ctx, func() { g.control.applyReading(reading, time.Now()) })
 }
 
 // State implements the relay protocol.
 func (g *Gateway) State(ctx context.Context, request *relaypb.StateRequest) (*relaypb.StateReply, error) {
-	var reading Reading
-	g.control.do(ctx, func() { reading = g.control.snapshot(request.GetRevision()) })
-	reply := &relaypb.StateReply{Revision: reading.Revision}
-	for _, e := range reading.Entries {
-		reply.Entries = append(reply.Entries, &relaypb.Entry{Kind: e.Kind, Name: e.Name, Value: e.Value, Revision: e.Revision})
+	var n news
+	g.control.do(ctx, func() { n = g.control.newsSince(0, time.Now()) })
+	if n.Revision <= request.GetRevision() {
+		return &relaypb.StateReply{}, nil
+	}
+	return &relaypb.StateReply{Revision: n.Revision, Entries: encodeEntries(n.Entries)}, nil
+}
+
+func encodeEntries(entries []Entry) []*relaypb.Entry {
+	encoded := make([]*relaypb.Entry, 0, len(entries))
+	for _, e := range entries {
+		encoded = append(encoded, &relaypb.Entry{Kind: e.Kind, Name: e.Name, Value: e.Value, Revision: e.Revision, Removed: e.Removed})
+	}
+	return encoded
+}
+
+func decodeEntries(encoded []*relaypb.Entry) []Entry {
+	entries := make([]Entry, 0, len(encoded))
+	for _, e := range encoded {
+		entries = append(entries, Entry{Kind: e.GetKind(), Name: e.GetName(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved()})
 	}
-	return reply, nil
+	return entries
 }
 
 // announce keeps this host's entry in the store until ctx ends, then removes it.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,7 +70,7 @@
 }
 
 func (w *world) start(file *settingspb.Gateway) *Gateway {
-	g := New(file, Edges{Store: w.store, Leafs: w.leafs, Peers: w.peers}, zerolog.Nop())
+	g := New(file, Edges{Store: &partedStore{fakeStore: w.store}, Leafs: w.leafs, Peers: w.peers}, zerolog.Nop())
 	w.peers.add(file.GetListen().GetPeers(), g)
 	w.hosts[file.GetHost().GetName()] = g
 	g.Start(w.ctx)
@@ -237,8 +238,8 @@
 	mu        sync.Mutex
 	byAddress map[string]*Gateway
 	// cut holds the addresses whose calls hang.
-	cut   map[string]bool
-	calls int
+	cut     map[string]bool
+	gathers atomic.Int64
 }
 
 func (p *fakePeers) add(address string, g *Gateway) {
@@ -253,12 +254,19 @@
 func (p *fakePeers) find(address string) (*Gateway, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.calls++
 	return p.byAddress[address], p.cut[address]
 }
 
+// cutOff makes the calls of a host hang, those that are under way included.
+func (p *fakePeers) cutOff(g *Gateway) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[g.self.GetAddress()] = true
+}
+
 func (p *fakePeers) Gather(ctx context.Context, address string, m *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error {
 	g, cut := p.find(address)
+	p.gathers.Add(1)
 	if cut {
 		<-ctx.Done()
 		return ctx.Err()
@@ -275,6 +283,32 @@
 	return g.State(ctx, m)
 }
 
+func (p *fakePeers) Follow(ctx context.Context, address string, m *relaypb.FollowRequest, received func(*relaypb.FollowReply)) error {
+	g, cut := p.find(address)
+	if g == nil || cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return g.Follow(m, &fakeFollowStream{fakeStream{ctx: ctx}, p, address, received})
+}
+
+// fakeFollowStream hands each message over at once, unless the peer is cut off.
+type fakeFollowStream struct {
+	fakeStream
+	peers   *fakePeers
+	address string
+	send    func(*relaypb.FollowReply)
+}
+
+func (s *fakeFollowStream) Send(r *relaypb.FollowReply) error {
+	if _, cut := s.peers.find(s.address); cut {
+		<-s.ctx.Done()
+		return s.ctx.Err()
+	}
+	s.send(r)
+	return nil
+}
+
 // fakeStream hands each reply over at once.
 type fakeStream struct {
 	drpc.Stream
@@ -299,6 +333,31 @@
 	down     bool
 	compact  bool
 	leases   map[uint64]string
+	// calls counts reads and watches.
+	calls int
+}
+
+// partedStore is one host's way to the store, which can be cut: calls hang.
+type partedStore struct {
+	*fakeStore
+	parted atomic.Bool
+}
+
+func (s *partedStore) Read(ctx context.Context) (Reading, error) {
+	if s.parted.Load() {
+		<-ctx.Done()
+		return Reading{}, ctx.Err()
+	}
+	return s.fakeStore.Read(ctx)
+}
+
+func (s *partedStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Reading, error) {
+	r, err := s.fakeStore.Watch(ctx, after, wait)
+	if s.parted.Load() {
+		<-ctx.Done()
+		return Reading{}, ctx.Err()
+	}
+	return r, err
 }
 
 var errStoreDown = errors.New("the store is down")
@@ -357,6 +416,7 @@
 func (s *fakeStore) Read(context.Context) (Reading, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return Reading{}, errStoreDown
 	}
@@ -369,6 +429,9 @@
 
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Reading, error) {
 	end := time.After(wait)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		changed, down, compact := s.changed, s.down, s.compact
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -34,6 +34,24 @@
 	})
 }
 
+// Follow hands what a peer learns of the platform to received until ctx ends or
+// the connection fails.
+func (c *DRPC) Follow(ctx context.Context, address string, request *relaypb.FollowRequest, received func(*relaypb.FollowReply)) error {
+	return c.with(ctx, address, func(conn drpc.Conn) error {
+		stream, err := relaypb.NewDRPCRelayClient(conn).Follow(ctx, request)
+		if err != nil {
+			return err
+		}
+		for {
+			reply, err := stream.Recv()
+			if err != nil {
+				return err
+			}
+			received(reply)
+		}
+	})
+}
+
 // State asks a peer for what it knows of the platform.
 func (c *DRPC) State(ctx context.Context, address string, request *relaypb.StateRequest) (reply *relaypb.StateReply, err error) {
 	err = c.with(ctx, address, func(conn drpc.Conn) (err error) {
