Replica choice: a server that refuses is chosen less

Cause: refusals did not enter the cost of a replica. Change: the smoothed share of refusals counts as 150 ms in the cost. TestRefusingReplicaIsChosenLess.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -284,9 +284,6 @@
 	if result == callMoved {
 		leaf.Leaving = true
 	}
-	if result == callShed {
-		leaf.Slots.Shed(now)
-	}
 	i := c.index()
 	if i == replica.None {
 		return false
@@ -294,6 +291,8 @@
 	switch result {
 	case callServed:
 		g.set.Answered(i, elapsed, now)
+	case callShed:
+		g.set.Refused(i, now)
 	case callCut:
 		g.set.CutShort(i, elapsed)
 	case callFailed:
--- a/replica/set.go
+++ b/replica/set.go
@@ -23,6 +23,9 @@
 	maxCuts = 10
 	// probeEvery is the interval at which an avoided replica gets one request.
 	probeEvery = time.Second
+	// refusalCost is what a refusal costs, in time: another attempt, which also
+	// takes from the budget for extra ones.
+	refusalCost = 150 * time.Millisecond
 	// slowFloor is the latency below which no replica counts as slow.
 	slowFloor = time.Millisecond
 )
@@ -56,6 +59,8 @@
 	latency  time.Duration
 	progress time.Time
 	failures int
+	// refused is the smoothed share (0 to 1) of requests that the leaf refused.
+	refused float64
 	// cuts is the number of requests cut short since the last answer.
 	cuts         int
 	ejections    int
@@ -242,7 +247,8 @@
 func (s *Set) cost(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	parallel := max(leaf.Parallel, 1)
-	return (s.expected(i, now) + leaf.Distance) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
+	again := time.Duration(leaf.refused * float64(refusalCost))
+	return (s.expected(i, now) + leaf.Distance + again) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
 }
 
 // Acquire takes a slot of a replica for a request that starts at now.
@@ -260,12 +266,20 @@
 	leaf.progress = now
 	leaf.failures = 0
 	leaf.cuts = 0
+	leaf.refused -= smoothing * leaf.refused
 	if !now.Before(leaf.ejectedUntil) {
 		leaf.ejections = 0
 	}
 	s.sample(leaf, latency)
 }
 
+// Refused notes that a replica refused a request because it was full.
+func (s *Set) Refused(i int, now time.Time) {
+	leaf := s.Leaves[i]
+	leaf.refused += smoothing * (1 - leaf.refused)
+	leaf.Slots.Shed(now)
+}
+
 // CutShort notes a request that was given up after elapsed without a reply. The
 // reply might have taken any longer time, so a few of these in a row, as from a
 // silent replica whose requests are always answered elsewhere, make it slow.
@@ -321,6 +335,7 @@
 func (s *Set) Restarted(i int, now time.Time) {
 	leaf := s.Leaves[i]
 	leaf.latency = 0
+	leaf.refused = 0
 	leaf.failures = 0
 	leaf.cuts = 0
 	leaf.ejections = 0
--- a/replica/set_test.go
+++ b/replica/set_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// A replica that refuses much of what it gets costs extra attempts; a distant
+// one that does not is better.
+func TestRefusingReplicaIsChosenLess(t *testing.T) {
+	s := newSet(2, 2, replica.Observed)
+	s.Leaves[1].Distance = 40 * time.Millisecond
+	now := start
+	picked := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		i := s.Pick(now, 0, 0)
+		s.Acquire(i, now)
+		s.Leaves[i].Slots.Release()
+		if i == 1 {
+			s.Answered(1, 20*time.Millisecond, now)
+			continue
+		}
+		picked++
+		if picked%2 == 0 {
+			s.Refused(0, now)
+		} else {
+			s.Answered(0, 20*time.Millisecond, now)
+		}
+	}
+	assert.Assert(t, picked < 20, "%d of 100 requests went to the replica that refuses half", picked)
+}
+
 func TestCapacityCountsSlowReplicasLess(t *testing.T) {
 	s := newSet(2, 2, replica.Observed)
 	assert.Equal(t, s.Capacity(start), 4.0)
