--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -32,6 +32,9 @@
 	// uses; the rest is for the edges of the sliding window.
 	budgetShare = 0.9
 	slackShare  = 0.8
+	// hedgePart is the part of the budget that hedges may use: a hedge may
+	// prove needless, a retry replaces what has failed.
+	hedgePart = 0.6
 )
 
 // query serves one request. Its fields belong to the goroutine of the request;
@@ -277,7 +280,7 @@
 		q.postpone(need, err, now)
 		return attempt{}, false
 	}
-	if kind != firstAttempt && !q.takeBudget(g, now) {
+	if kind != firstAttempt && !q.takeBudget(g, kind, now) {
 		c.end(callUntold, 0, now)
 		countDenied(kind)
 		q.trace.denied++
@@ -293,10 +296,14 @@
 	return attempt{shard: need.Shard, kind: kind, call: c}, true
 }
 
-func (q *query) takeBudget(g *group, now time.Time) bool {
+func (q *query) takeBudget(g *group, kind attemptKind, now time.Time) bool {
 	s := q.gateway.settings.GetRetry()
 	hosts := float64(max(q.view.count, 1))
-	return g.extra(budgetShare*s.GetShare(), slackShare*s.GetSlack()/hosts, now)
+	part := 1.0
+	if kind == hedgeAttempt {
+		part = hedgePart
+	}
+	return g.extra(part*budgetShare*s.GetShare(), part*slackShare*s.GetSlack()/hosts, now)
 }
 
 func (q *query) count(kind attemptKind) {
