Relay: records that cannot count any more are left out

Cause: a hedge in another region brought up to 50 records of one shard (800 bytes) although two or three of them are in the answer. Ruled out: fewer hedges (they bring the coverage). Change: the front sends the smallest record of its answer so far; the relay leaves smaller ones out. If the blocks that this came from are exchanged later and the floor lies above the answer, the block is left out. TestFloorLeavesOutWhatCannotCount.

--- a/fanout/query.go
+++ b/fanout/query.go
@@ -1,6 +1,9 @@
 package fanout
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // Settings bound one query.
 type Settings struct {
@@ -25,6 +28,8 @@
 	Signatures []string
 	// Records holds the greatest records of the parts, in any order.
 	Records []byte
+	// Floor is set where records smaller than it were left out.
+	Floor []byte
 }
 
 type shard struct {
@@ -262,18 +267,62 @@
 	Records []byte
 }
 
-// Answer returns the answer with the parts that came so far.
+// Floor returns the smallest record that a part still to come can bring into an
+// answer of top records, or nil where any can.
+func (q *Query) Floor(top int) []byte {
+	records := merge(top, q.blocks)
+	if len(records) < top*RecordSize {
+		return nil
+	}
+	return records[len(records)-RecordSize:]
+}
+
+// Answer returns the answer with the parts that came so far. A block whose
+// floor turns out to lie above the smallest record of the answer, because the
+// blocks that the floor came from were exchanged, is left out.
 func (q *Query) Answer(top int) Answer {
-	a := Answer{Signatures: make([]string, 0, q.covered), Missing: q.settings.Shards - q.covered}
-	sources := make([][]byte, 0, len(q.blocks))
-	for _, b := range q.blocks {
+	blocks := q.blocks
+	records := merge(top, blocks)
+	for {
+		kept := sound(top, records, blocks)
+		if len(kept) == len(blocks) {
+			break
+		}
+		blocks = kept
+		records = merge(top, blocks)
+	}
+	a := Answer{Records: records, Missing: q.settings.Shards}
+	for _, b := range blocks {
 		a.Signatures = append(a.Signatures, b.Signatures...)
-		sources = append(sources, b.Records)
+		a.Missing -= len(b.Shards)
 	}
-	a.Records = Top(top, sources...)
 	return a
 }
 
+func merge(top int, blocks []Block) []byte {
+	sources := make([][]byte, 0, len(blocks))
+	for _, b := range blocks {
+		sources = append(sources, b.Records)
+	}
+	return Top(top, sources...)
+}
+
+// sound returns the blocks of which no record is left out that belongs among
+// the greatest.
+func sound(top int, records []byte, blocks []Block) []Block {
+	var smallest []byte
+	if len(records) >= top*RecordSize {
+		smallest = records[len(records)-RecordSize:]
+	}
+	kept := make([]Block, 0, len(blocks))
+	for _, b := range blocks {
+		if len(b.Floor) == 0 || (smallest != nil && bytes.Compare(smallest, b.Floor) >= 0) {
+			kept = append(kept, b)
+		}
+	}
+	return kept
+}
+
 // MissingShards returns the numbers of the shards that are not in.
 func (q *Query) MissingShards() []int {
 	var missing []int
--- a/fanout/query_test.go
+++ b/fanout/query_test.go
@@ -95,6 +95,23 @@
 	assert.DeepEqual(t, q.Answer(1).Signatures, []string{"t0", "t1", "s2"})
 }
 
+func TestFloorLeavesOutWhatCannotCount(t *testing.T) {
+	q := newQuery(3)
+	low, high := []byte("record-000000001"), []byte("record-000000009")
+	q.Offer(fanout.Block{Shards: []int{0}, Signatures: []string{"a"}, Records: slices.Concat(high, low)})
+	assert.DeepEqual(t, q.Floor(2), low)
+	assert.Assert(t, q.Floor(3) == nil, "any record can still count")
+	assert.Equal(t, string(fanout.AtLeast(high, slices.Concat(low, high))), string(high))
+	q.Offer(fanout.Block{Shards: []int{1}, Signatures: []string{"b"}, Floor: low})
+	assert.Equal(t, q.Answer(2).Missing, 1)
+	// The block that the floor came from is exchanged for one with smaller
+	// records: what was left out would count now.
+	q.Offer(fanout.Block{Shards: []int{0, 2}, Signatures: []string{"c", "d"}, Records: high})
+	a := q.Answer(2)
+	assert.DeepEqual(t, a.Signatures, []string{"c", "d"})
+	assert.Equal(t, a.Missing, 1)
+}
+
 // Whatever blocks come, each shard is in at most once and coverage never
 // falls; the records are the greatest of the blocks named.
 func TestAnswersAreTrue(t *testing.T) {
--- a/fanout/top.go
+++ b/fanout/top.go
@@ -8,6 +8,22 @@
 // RecordSize is the size of a record, in bytes.
 const RecordSize = 16
 
+// AtLeast returns the records of a source that are not smaller than floor. An
+// empty floor keeps all.
+func AtLeast(floor, source []byte) []byte {
+	if len(floor) == 0 {
+		return source
+	}
+	var kept []byte
+	for len(source) >= RecordSize {
+		if bytes.Compare(source[:RecordSize], floor) >= 0 {
+			kept = append(kept, source[:RecordSize]...)
+		}
+		source = source[RecordSize:]
+	}
+	return kept
+}
+
 // Top returns the n greatest records of all sources, greatest first. Records
 // compare byte by byte; equal ones all count. The rest of a source that is
 // shorter than a record is not a record.
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -70,6 +70,8 @@
 type event struct {
 	results []result
 	records []byte
+	// floor is set where smaller records were left out.
+	floor []byte
 }
 
 // result is what became of the attempt at one shard.
@@ -158,7 +160,7 @@
 }
 
 func (q *query) take(e event) {
-	block := fanout.Block{Records: e.records}
+	block := fanout.Block{Records: e.records, Floor: e.floor}
 	for _, r := range e.results {
 		switch r.outcome {
 		case relaypb.Outcome_PART:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -31,7 +31,7 @@
 	for i, id := range m.GetServerIds() {
 		go func() { results <- indexed{i, g.relayOne(ctx, id, r, timeout)} }()
 	}
-	gathered := &gathering{top: int(m.GetTop()), open: len(m.GetServerIds())}
+	gathered := &gathering{top: int(m.GetTop()), floor: m.GetFloor(), open: len(m.GetServerIds())}
 	wait := time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond
 	soft := time.NewTimer(wait)
 	defer soft.Stop()
@@ -62,6 +62,7 @@
 // gathering merges results until they are sent.
 type gathering struct {
 	top     int
+	floor   []byte
 	open    int
 	results []*relaypb.CallResult
 	parts   [][]byte
@@ -75,7 +76,7 @@
 		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason,
 	})
 	if r.outcome == relaypb.Outcome_PART {
-		w.parts = append(w.parts, r.reply.Body)
+		w.parts = append(w.parts, fanout.AtLeast(w.floor, r.reply.Body))
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -100,7 +100,7 @@
 		q.sent(a, now, true)
 	}
 	q.trace.relayed += len(attempts)
-	go q.gateway.relayed(ctx, relay, request, &relayCall{query: q, attempts: attempts, open: len(attempts)})
+	go q.gateway.relayed(ctx, relay, request, &relayCall{query: q, attempts: attempts, open: len(attempts), floor: request.GetFloor()})
 }
 
 func (q *query) relayRequest(attempts []attempt, now time.Time) *relaypb.GatherRequest {
@@ -110,6 +110,7 @@
 		TimeoutUs:     uint64(max(q.end.Sub(now), 0).Microseconds()),
 		SoftTimeoutUs: uint64(q.softTimeout(now).Microseconds()),
 		Top:           uint32(q.entry.Query.Top),
+		Floor:         q.state.Floor(q.entry.Query.Top),
 	}
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -136,6 +137,7 @@
 	attempts []attempt
 	done     []bool
 	open     int
+	floor    []byte
 }
 
 // relayed makes the call and reports what it brings.
@@ -166,7 +168,7 @@
 
 func (rc *relayCall) take(reply *relaypb.GatherReply) {
 	now := time.Now()
-	e := event{records: reply.GetRecords()}
+	e := event{records: reply.GetRecords(), floor: rc.floor}
 	for _, r := range reply.GetResults() {
 		i := int(r.GetIndex())
 		if i >= len(rc.attempts) || rc.done[i] {
