The far shards of a query go to one far region

Cause: a shard without a server in the region has one in each of the two others; each shard chose by itself, so that two relays were asked for a third of the shards, with two replies of up to 50 records. Change: a query prefers one far region, drawn at random, unless the server there is avoided.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -282,7 +282,8 @@
 	previous := c.view()
 	v := &view{
 		table: c.holder.Table(), tableSince: c.tableSince, hosts: byDomain(c.hosts), count: len(c.hosts),
-		storeLost: c.storeLost, revision: c.revision,
+		farRegions: otherRegions(c.hosts, c.fleet.place.region),
+		storeLost:  c.storeLost, revision: c.revision,
 	}
 	v.ready = v.table != nil && c.registry.Loaded() && !c.stopping
 	if v.ready != previous.ready {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -39,7 +39,8 @@
 // backend is one server with what this host has observed of it.
 type backend struct {
 	discovery.Server
-	leaf *replica.Leaf
+	region string
+	leaf   *replica.Leaf
 }
 
 // group holds the servers of one service.
@@ -146,7 +147,7 @@
 
 // adopt returns the backend for a registration, keeping what was observed.
 func adopt(old *backend, s discovery.Server, p place, conns int, now time.Time) *backend {
-	b := &backend{Server: s}
+	b := &backend{Server: s, region: p.regions[s.Domain]}
 	if old != nil {
 		b.leaf = old.leaf
 	} else {
@@ -215,23 +216,35 @@
 	started time.Time
 }
 
-// pick takes a slot on the server that should get a request at now. Servers in
-// tried are avoided; where none other is left, a request that is not a hedge
-// may go to one of them again.
-func (g *group) pick(now time.Time, tried []string, hedge bool) (*call, error) {
+// wish says what kind of slot a request wants.
+type wish struct {
+	// tried are the servers that were sent the request. They are avoided; where
+	// no other is left, a request that is not a hedge may go there again.
+	tried []string
+	hedge bool
+	// region is the far region to prefer to others that are as far, so that
+	// one relay serves all far shards of a query; empty for none.
+	region string
+}
+
+// pick takes a slot on the server that should get a request at now.
+func (g *group) pick(now time.Time, w wish) (*call, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	exclude := g.mask(tried)
+	exclude := g.mask(w.tried)
 	if !g.set.Reachable(exclude) {
-		if hedge || !g.set.Reachable(0) {
+		if w.hedge || !g.set.Reachable(0) {
 			return nil, errNoServer
 		}
 		exclude = 0
 	}
 	i := replica.None
-	if !hedge && len(tried) == 0 {
+	if !w.hedge && len(w.tried) == 0 {
 		i = g.set.Probe(now, exclude)
 	}
+	if i == replica.None {
+		i = g.pickNear(now, w.region, exclude)
+	}
 	if i == replica.None {
 		i = g.set.Pick(now, 0, exclude)
 	}
@@ -241,6 +254,27 @@
 	return &call{group: g, backend: g.members[i], started: now}, nil
 }
 
+// pickNear picks among the servers near by and those of one far region, unless
+// none of them is sound.
+func (g *group) pickNear(now time.Time, region string, exclude uint64) int {
+	if region == "" {
+		return replica.None
+	}
+	for i, b := range g.members {
+		if b.leaf.Distance >= farDistance && b.region != region {
+			exclude |= 1 << i
+		}
+	}
+	if !g.set.Reachable(exclude) {
+		return replica.None
+	}
+	i := g.set.Pick(now, 0, exclude)
+	if i != replica.None && g.set.AvoidedMask(now)&(1<<i) != 0 {
+		return replica.None
+	}
+	return i
+}
+
 // take takes a slot on one given server.
 func (g *group) take(b *backend, now time.Time) (*call, error) {
 	g.mu.Lock()
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -49,6 +49,8 @@
 	end       time.Time
 	offerBy   time.Time
 	groups    []*group
+	// farRegion is the far region that this query prefers.
+	farRegion string
 	state     *fanout.Query
 	events    chan event
 	// tried holds the servers that were sent the request, by shard.
@@ -277,7 +279,7 @@
 		kind = retryAttempt
 	}
 	g := q.groups[need.Shard]
-	c, err := g.pick(now, q.tried[need.Shard], need.Hedge)
+	c, err := g.pick(now, wish{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion})
 	if err != nil {
 		q.postpone(need, err, now)
 		return attempt{}, false
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -97,6 +97,7 @@
 		settings.Shards = len(p.groups)
 		settings.MinShare = entry.Query.MinShare
 		settings.AnswerAt = g.answerAt(r, objective)
+		p.farRegion = v.anyFarRegion()
 	}
 	if !entry.Idempotent {
 		settings.MaxAttempts = 1
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +29,8 @@
 	// first.
 	hosts map[string][]host
 	count int
+	// farRegions are the other regions in which hosts stand.
+	farRegions []string
 	// ready tells that requests are wanted.
 	ready bool
 	// storeLost is when the store was last found away; zero while it answers.
@@ -55,6 +59,26 @@
 	return !known
 }
 
+// anyFarRegion returns one of the regions in which other hosts stand, at
+// random, or an empty string.
+func (v *view) anyFarRegion() string {
+	if len(v.farRegions) == 0 {
+		return ""
+	}
+	return v.farRegions[rand.IntN(len(v.farRegions))]
+}
+
+// otherRegions returns the regions of the hosts without one's own, sorted.
+func otherRegions(hosts map[string]host, own string) []string {
+	seen := map[string]bool{}
+	for _, h := range hosts {
+		if h.region != own {
+			seen[h.region] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // byDomain groups hosts by their failure domain, the strongest first.
 func byDomain(hosts map[string]host) map[string][]host {
 	groups := map[string][]host{}
