--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -34,7 +34,7 @@
 	slackShare  = 0.8
 	// hedgePart is the part of the budget that hedges may use: a hedge may
 	// prove needless, a retry replaces what has failed.
-	hedgePart = 0.6
+	hedgePart = 0.85
 )
 
 // query serves one request. Its fields belong to the goroutine of the request;
