--- a/purity_test.go
+++ b/purity_test.go
@@ -3,6 +3,9 @@
 
 import (
 	"go/build"
+	"io/fs"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -13,7 +16,8 @@
 
 // decisionPackages are importable without the daemon and any transport.
 var decisionPackages = []string{
-	"admission", "config", "drain", "limit", "member", "once", "rendezvous", "replica", "retry", "scatter", "snapshot",
+	"admission", "config", "discovery", "drain", "fanout", "limit", "member", "once", "rendezvous", "replica", "retry", "route", "scatter",
+	"snapshot",
 }
 
 // forbidden are the packages that decision packages may not depend on.
@@ -34,6 +38,36 @@
 	}
 }
 
+// platformWords are names that only the adapter may know.
+var platformWords = []string{
+	"X-Mallowgap-", "kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep", "op/config", "goal_ms", "top_k", "min_share",
+	"weighted_services", "cold_left_ms",
+}
+
+// TestPlatformNamesStayInTheAdapter looks for the platform's names in the code.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	adapter, all := 0, 0
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, "api/") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		lines := strings.Count(string(text), "\n")
+		all += lines
+		if strings.HasPrefix(path, "platform/") {
+			adapter += lines
+			return nil
+		}
+		for _, word := range platformWords {
+			assert.Check(t, !strings.Contains(string(text), word), "%s names %s", path, word)
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, adapter*10 < all, "the adapter has %d of %d lines: it is to stay under a tenth", adapter, all)
+}
+
 // imports adds what a package of the module imports to seen.
 func imports(t *testing.T, dir string, seen map[string]bool) map[string]bool {
 	t.Helper()
