--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -27,6 +27,11 @@
 	// divide. Less than half, because a server does not notice at once that a
 	// gateway lost power: the connections of before and after must both fit.
 	connShare = 0.45
+	// slowerFactor and slowerMargin say by how much a server must be slower
+	// than another for the preferred region to be given up: more than the usual
+	// scatter of latencies.
+	slowerFactor = 1.6
+	slowerMargin = 6 * time.Millisecond
 	// maxReplicas bounds the replicas of a group, as their masks are 64 bits.
 	maxReplicas = 64
 )
@@ -255,7 +260,7 @@
 }
 
 // pickFar picks among the servers of one far region where none is nearer,
-// unless none of them is sound.
+// unless another far server is expected to answer much sooner.
 func (g *group) pickFar(now time.Time, region string, exclude uint64) int {
 	if region == "" {
 		return replica.None
@@ -272,12 +277,24 @@
 		return replica.None
 	}
 	i := g.set.Pick(now, 0, exclude)
-	if i != replica.None && g.set.AvoidedMask(now)&(1<<i) != 0 {
+	if i == replica.None || g.muchSlower(i, now) {
 		return replica.None
 	}
 	return i
 }
 
+// muchSlower reports whether another server is expected to answer in much less
+// time than the i-th.
+func (g *group) muchSlower(i int, now time.Time) bool {
+	own := g.set.Expected(i, now)
+	for j := range g.members {
+		if j != i && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)))+slowerMargin {
+			return true
+		}
+	}
+	return false
+}
+
 // take takes a slot on one given server.
 func (g *group) take(b *backend, now time.Time) (*call, error) {
 	g.mu.Lock()
--- a/replica/set.go
+++ b/replica/set.go
@@ -107,7 +107,7 @@
 // worthWaiting reports whether another replica, busy now, is expected to
 // answer sooner than the free replica would.
 func (s *Set) worthWaiting(free int, now time.Time, waiting int, exclude uint64) bool {
-	latency := s.expected(free, now)
+	latency := s.Expected(free, now)
 	if latency <= slowFloor {
 		return false
 	}
@@ -117,7 +117,7 @@
 			continue
 		}
 		limit := max(leaf.Slots.Limit(now), 1)
-		own := s.expected(i, now)
+		own := s.Expected(i, now)
 		turn := own + own*time.Duration(waiting+1)/time.Duration(limit)
 		if latency > avoidFactor*own && latency > turn {
 			return true
@@ -228,9 +228,9 @@
 	return true
 }
 
-// expected is the latency to expect of a replica. A replica with requests
+// Expected is the latency to expect of a replica; 0 is unknown. A replica with requests
 // running that made no progress is as slow as its silence is long.
-func (s *Set) expected(i int, now time.Time) time.Duration {
+func (s *Set) Expected(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	if leaf.Slots.InUse() == 0 {
 		return leaf.estimate()
@@ -248,7 +248,7 @@
 	leaf := s.Leaves[i]
 	parallel := max(leaf.Parallel, 1)
 	again := time.Duration(leaf.refused * float64(refusalCost))
-	return (s.expected(i, now) + leaf.Distance + again) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
+	return (s.Expected(i, now) + leaf.Distance + again) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
 }
 
 // Acquire takes a slot of a replica for a request that starts at now.
