--- a/cmd/mallowgap/gateway.go
+++ b/cmd/mallowgap/gateway.go
@@ -56,7 +56,7 @@
 	peers := peer.NewDRPC(peerDialTimeout, nil)
 	defer func() { _ = peers.Close() }()
 	g := gateway.New(file, gateway.Edges{
-		Store: platform.NewStore(file.GetStore().GetAddress()), Leafs: leafs, Peers: peers,
+		Store: platform.NewStore(file.GetStore().GetAddress(), file.GetStore().GetCallTimeout().AsDuration()), Leafs: leafs, Peers: peers,
 	}, log)
 	go followReload(path, log)
 	return g.Run(stopSignal(), gateway.Handlers{
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -109,7 +109,8 @@
 // ErrLeaseEnded is returned by Renew for a lease that is gone.
 var ErrLeaseEnded = errors.New("the lease has ended: announce again")
 
-// Store is the platform's store.
+// Store is the platform's store. Each call ends in bounded time, Watch with the
+// context.
 type Store interface {
 	// Read returns all entries.
 	Read(ctx context.Context) (Reading, error)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
@@ -38,13 +36,15 @@
 
 // leader returns the host of this region that this host follows. It returns
 // false where this host is to read the store: it is the first of the region, in
-// the order of strength and name, of those that answer.
+// the order of strength and name, of those that answer. A host follows only
+// hosts that come before it, so that no two follow each other, also while it
+// does not know its own entry.
 func (g *Gateway) leader(now time.Time) (host, bool) {
 	if !g.loaded {
 		return host{}, false
 	}
 	for _, h := range g.control.view().inRegion(g.self.GetRegion()) {
-		if h.name == g.name {
+		if compareHosts(h, host{name: g.name, strength: g.self.GetStrength()}) >= 0 {
 			return host{}, false
 		}
 		if !g.peers.suspected(h.address, now) {
@@ -64,12 +64,7 @@
 			}
 		}
 	}
-	slices.SortFunc(hosts, func(a, b host) int {
-		if c := cmp.Compare(b.strength, a.strength); c != 0 {
-			return c
-		}
-		return strings.Compare(a.name, b.name)
-	})
+	slices.SortFunc(hosts, compareHosts)
 	return hosts
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -231,6 +231,19 @@
 	})
 }
 
+// A host that did not know its own entry yet once followed one that comes after
+// it and followed it in turn: neither read the store for 1.5 s.
+func TestNoTwoHostsFollowEachOther(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneRegion, func(w *world) {
+		g := w.hosts["host1"]
+		v := *g.control.view()
+		v.hosts = map[string][]host{"a1": {{name: "host2", address: "x", domain: "a1", region: "a", strength: 1}}}
+		g.control.current.Store(&v)
+		_, follows := g.leader(time.Now())
+		assert.Assert(t, !follows)
+	})
+}
+
 // inForce changes the configuration and reports after what time the host has it.
 func inForce(w *world, host string, version uint64) time.Duration {
 	start := time.Now()
@@ -277,3 +290,17 @@
 		assert.Assert(t, 2*hosts*v.conns(server, 3) <= 26, "%d connections a host", v.conns(server, 3))
 	})
 }
+
+// A host that started while the store was silent once waited two seconds for
+// the first reading and asked a peer only after that.
+func TestHostStartsSoonWhereTheStoreIsSilent(t *testing.T) {
+	late := settingsOf(t, hostSpec{"late9", "a1", "a"})
+	inWorld(t, shardedConfig(3, 1), serversOf([]string{"single"}, "a1"), threeRegions, func(w *world) {
+		late.Store.Seeds = w.hosts["host2"].self.GetAddress()
+		silent := &partedStore{fakeStore: w.store}
+		silent.parted.Store(true)
+		g := w.startWith(late, silent)
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, g.Ready())
+	})
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -19,6 +19,9 @@
 	// watchGap is the least time between two watches, so that changes that come
 	// close together cost one call.
 	watchGap = 250 * time.Millisecond
+	// firstPeerPoll is when a host that has learned nothing since its start
+	// asks a peer, and how often it does so then.
+	firstPeerPoll = 250 * time.Millisecond
 	// peerPoll is the interval at which peers are asked while the store is away.
 	peerPoll = 700 * time.Millisecond
 	// peerTimeout bounds a question to a peer.
@@ -93,9 +96,7 @@
 }
 
 func (g *Gateway) read(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, 2*g.settings.GetStore().GetCallTimeout().AsDuration())
-	defer cancel()
-	reading, err := g.edges.Store.Read(callCtx)
+	reading, err := g.edges.Store.Read(ctx)
 	if err != nil {
 		return err
 	}
@@ -109,13 +110,15 @@
 	return nil
 }
 
-// followPeers asks peers for what they know while the store is away, so that a
-// host that cannot reach it still learns of changes, or starts.
+// followPeers asks peers for what they know while the store is away or has not
+// answered since the start, so that a host still learns of changes, or starts.
 func (g *Gateway) followPeers(ctx context.Context) {
+	wait := firstPeerPoll
 	for ctx.Err() == nil {
-		sleep(ctx, peerPoll)
+		sleep(ctx, wait)
 		v := g.control.view()
-		if v.storeLost.IsZero() {
+		if v.storeLost.IsZero() && v.revision > 0 {
+			wait = peerPoll
 			continue
 		}
 		if address := g.anyPeer(v); address != "" {
@@ -212,9 +215,7 @@
 }
 
 func (g *Gateway) announceOnce(ctx context.Context, value []byte, ttl time.Duration) uint64 {
-	callCtx, cancel := context.WithTimeout(ctx, 2*g.settings.GetStore().GetCallTimeout().AsDuration())
-	defer cancel()
-	lease, err := g.edges.Store.Announce(callCtx, g.name, value, ttl)
+	lease, err := g.edges.Store.Announce(ctx, g.name, value, ttl)
 	if err != nil {
 		g.log.Warn().Err(err).Msg("this host could not be announced; it will be tried again")
 		return 0
@@ -223,9 +224,7 @@
 }
 
 func (g *Gateway) renew(ctx context.Context, lease uint64) error {
-	callCtx, cancel := context.WithTimeout(ctx, g.settings.GetStore().GetCallTimeout().AsDuration())
-	defer cancel()
-	err := g.edges.Store.Renew(callCtx, lease)
+	err := g.edges.Store.Renew(ctx, lease)
 	if err != nil && !errors.Is(err, ErrLeaseEnded) {
 		g.log.Debug().Err(err).Msg("lease could not be renewed; it will be tried again")
 	}
@@ -251,9 +250,7 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.GetStore().GetCallTimeout().AsDuration())
-	defer cancel()
-	if err := g.edges.Store.Withdraw(ctx, lease); err != nil {
+	if err := g.edges.Store.Withdraw(context.Background(), lease); err != nil {
 		g.log.Warn().Err(err).Msg("the entry of this host could not be removed; it lapses with its lease")
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -86,19 +87,19 @@
 		groups[h.domain] = append(groups[h.domain], h)
 	}
 	for _, group := range groups {
-		slices.SortFunc(group, func(a, b host) int {
-			if a.strength != b.strength {
-				if a.strength > b.strength {
-					return -1
-				}
-				return 1
-			}
-			return strings.Compare(a.name, b.name)
-		})
+		slices.SortFunc(group, compareHosts)
 	}
 	return groups
 }
 
+// compareHosts orders the strongest first, and by name between equals.
+func compareHosts(a, b host) int {
+	if c := cmp.Compare(b.strength, a.strength); c != 0 {
+		return c
+	}
+	return strings.Compare(a.name, b.name)
+}
+
 // conns returns how many connections this host may open to a server: a part of
 // those that the server accepts, divided by the relays of its domain.
 func (v *view) conns(s discovery.Server, relaysPerDomain int) int {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -70,7 +70,11 @@
 }
 
 func (w *world) start(file *settingspb.Gateway) *Gateway {
-	g := New(file, Edges{Store: &partedStore{fakeStore: w.store}, Leafs: w.leafs, Peers: w.peers}, zerolog.Nop())
+	return w.startWith(file, &partedStore{fakeStore: w.store})
+}
+
+func (w *world) startWith(file *settingspb.Gateway, store *partedStore) *Gateway {
+	g := New(file, Edges{Store: store, Leafs: w.leafs, Peers: w.peers}, zerolog.Nop())
 	w.peers.add(file.GetListen().GetPeers(), g)
 	w.hosts[file.GetHost().GetName()] = g
 	g.Start(w.ctx)
@@ -337,6 +341,9 @@
 	calls int
 }
 
+// storeTimeout is the bound of a call of the store in the fake world.
+const storeTimeout = 600 * time.Millisecond
+
 // partedStore is one host's way to the store, which can be cut: calls hang.
 type partedStore struct {
 	*fakeStore
@@ -345,8 +352,8 @@
 
 func (s *partedStore) Read(ctx context.Context) (Reading, error) {
 	if s.parted.Load() {
-		<-ctx.Done()
-		return Reading{}, ctx.Err()
+		time.Sleep(storeTimeout)
+		return Reading{}, context.DeadlineExceeded
 	}
 	return s.fakeStore.Read(ctx)
 }
