Slow servers get few requests that no hedge covers

Ruled out: full connections (first attempts were sent after 1 ms). Change: such requests probe a server every 8 s; parts of queries every second as before.

--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -35,7 +35,7 @@
 // Reply is what a server sent.
 type Reply struct {
 	Status int
-	// Header holds the end-to-end headers.
+	// Header holds all headers as they came.
 	Header http.Header
 	Body   []byte
 	// Signature proves that the server ran the request.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -234,6 +234,8 @@
 	// region is the far region to prefer to others that are as far, so that
 	// one relay serves all far shards of a query; empty for none.
 	region string
+	// probeEvery is how often an avoided server gets a request of this kind.
+	probeEvery time.Duration
 }
 
 // pick takes a slot on the server that should get a request at now.
@@ -249,7 +251,7 @@
 	}
 	i := replica.None
 	if !w.hedge && len(w.tried) == 0 {
-		i = g.set.Probe(now, exclude)
+		i = g.set.Probe(now, exclude, w.probeEvery)
 	}
 	if i == replica.None {
 		i = g.pickFar(now, w.region, exclude)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -304,3 +304,16 @@
 		assert.Assert(t, g.Ready())
 	})
 }
+
+// A server that is slow once got one request a second from every host, also of
+// those that are not queries and that no hedge covers.
+func TestSlowServerGetsFewRequestsThatNothingCovers(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1", "a2"), oneHost, func(w *world) {
+		w.leafs.set("single@a1", serve("single@a1", 900*time.Millisecond))
+		for range 100 {
+			w.ask("host1", "/once/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, w.leafs.arrivals("single@a1") <= 4, "%d of 100", w.leafs.arrivals("single@a1"))
+	})
+}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -7,6 +7,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/fanout"
+	"github.com/mallowgap/mallowgap/replica"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -25,6 +26,10 @@
 	// softCap bounds for how long a relay gathers before its first reply, as a
 	// share of the objective.
 	softCap = 0.2
+	// singleProbeEvery is how often one host sends an avoided server a request
+	// that is not a query. Nothing covers such a request: with a few hosts and
+	// one second, a quarter of the requests went to slow servers.
+	singleProbeEvery = 8 * time.Second
 	// lingerTime is for how long calls whose answer came too late may still
 	// run, so that their connections can be used again.
 	lingerTime = 250 * time.Millisecond
@@ -283,7 +288,7 @@
 		kind = retryAttempt
 	}
 	g := q.groups[need.Shard]
-	c, err := g.pick(now, wish{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion})
+	c, err := g.pick(now, wish{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion, probeEvery: q.probeEvery()})
 	if err != nil {
 		q.postpone(need, err, now)
 		return attempt{}, false
@@ -304,6 +309,15 @@
 	return attempt{shard: need.Shard, kind: kind, call: c}, true
 }
 
+// probeEvery is how often a server that is slow or failed gets a request like
+// this one: rarely where the caller pays for it with its time.
+func (q *query) probeEvery() time.Duration {
+	if q.entry.Query != nil {
+		return replica.ProbeEvery
+	}
+	return singleProbeEvery
+}
+
 func (q *query) takeBudget(g *group, kind attemptKind, now time.Time) bool {
 	s := q.gateway.settings.GetRetry()
 	hosts := float64(max(q.view.count, 1))
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -75,7 +75,7 @@
 	}
 	set := q.plan.shards[shard].set
 	exclude := q.exclude(shard) | 1<<chosen
-	if i := set.Probe(now, exclude); i != replica.None {
+	if i := set.Probe(now, exclude, replica.ProbeEvery); i != replica.None {
 		s.send(q, shard, i, obs.Probe, now)
 	}
 }
--- a/replica/set.go
+++ b/replica/set.go
@@ -21,8 +21,9 @@
 	avoidFactor = 3
 	// maxCuts bounds the count of requests cut short in a row.
 	maxCuts = 10
-	// probeEvery is the interval at which an avoided replica gets one request.
-	probeEvery = time.Second
+	// ProbeEvery is the usual interval at which an avoided replica gets one
+	// repeatable request.
+	ProbeEvery = time.Second
 	// refusalCost is what a refusal costs, in time: another attempt, which also
 	// takes from the budget for extra ones.
 	refusalCost = 150 * time.Millisecond
@@ -160,14 +161,15 @@
 	return false
 }
 
-// Probe returns an avoided replica that is due for one repeatable request.
-func (s *Set) Probe(now time.Time, exclude uint64) int {
+// Probe returns an avoided replica that is due for one request, as its last
+// was longer ago than every.
+func (s *Set) Probe(now time.Time, exclude uint64, every time.Duration) int {
 	if s.policy == Random {
 		return None
 	}
 	for i := range s.Leaves {
 		leaf := s.Leaves[i]
-		if !s.allowed(i, exclude) || !leaf.Slots.Free(now) || now.Sub(leaf.probed) < probeEvery {
+		if !s.allowed(i, exclude) || !leaf.Slots.Free(now) || now.Sub(leaf.probed) < every {
 			continue
 		}
 		if s.avoided(i, now) {
--- a/replica/set_test.go
+++ b/replica/set_test.go
@@ -67,8 +67,8 @@
 	}
 	assert.Assert(t, s.Ejected(0, start))
 	assert.Equal(t, s.Pick(start, 0, 0), 1)
-	assert.Equal(t, s.Probe(start, 1<<1), replica.None, "probed too soon")
-	assert.Equal(t, s.Probe(start.Add(time.Second), 1<<1), replica.None, "the ejection is over: it is used again")
+	assert.Equal(t, s.Probe(start, 1<<1, replica.ProbeEvery), replica.None, "probed too soon")
+	assert.Equal(t, s.Probe(start.Add(time.Second), 1<<1, replica.ProbeEvery), replica.None, "the ejection is over: it is used again")
 }
 
 // Ejection leaves a usable replica, however all of them fail.
