--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets are described in README.md.
-.PHONY: build demo test fuzz chaos mutants bench capacity compare generate lint
+.PHONY: build demo test fuzz chaos mutants bench capacity compare generate lint soak
 FUZZ_CHECKS ?= 500
 
 build:
@@ -21,7 +21,7 @@
 	scripts/mutants.sh
 
 bench:
-	go test -run '^$$' -bench . -benchtime 100ms ./admission ./member ./once ./rendezvous ./replica ./retry ./scatter ./snapshot
+	go test -run '^$$' -bench . -benchtime 100ms ./admission ./member ./once ./rendezvous ./replica ./retry ./scatter ./snapshot ./fanout
 
 capacity: build
 	bin/mallowgap capacity docs/CAPACITY.md
@@ -37,3 +37,9 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 	go tool staticcheck ./...
+
+# The fault soak: make soak SEED=1 SEEDS=50
+SEED ?= 1
+SEEDS ?= 10
+soak:
+	go test ./platform/soak -count 1 -timeout 60m -v -args -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.length 8s -soak.timed
--- a/cmd/mallowgap/settings.go
+++ b/cmd/mallowgap/settings.go
@@ -19,6 +19,7 @@
 // settingsFile is a file and its kind.
 type settingsFile struct {
 	Scenario bool `long:"scenario" description:"The file is a load scenario, not that of an entry host."`
+	Gateway  bool `long:"gateway" description:"The file is that of a gateway."`
 	Args     struct {
 		File string `positional-arg-name:"FILE"`
 	} `positional-args:"yes" required:"yes"`
@@ -29,6 +30,10 @@
 		scenario := &settingspb.Scenario{}
 		return scenario, settings.Load(f.Args.File, scenario)
 	}
+	if f.Gateway {
+		gateway := &settingspb.Gateway{}
+		return gateway, settings.LoadGateway(f.Args.File, gateway)
+	}
 	entry := &settingspb.Entry{}
 	return entry, settings.LoadEntry(f.Args.File, entry)
 }
@@ -62,6 +67,7 @@
 func (*settingsRef) Execute([]string) error {
 	fmt.Print("# Settings\n\nMade from `api/settingspb/settings.proto` by `mallowgap settings reference`.\n\n")
 	settings.Markdown(os.Stdout, "Entry host", (&settingspb.Entry{}).ProtoReflect().Descriptor())
+	settings.Markdown(os.Stdout, "Gateway", (&settingspb.Gateway{}).ProtoReflect().Descriptor())
 	settings.Markdown(os.Stdout, "Load scenario", (&settingspb.Scenario{}).ProtoReflect().Descriptor())
 	return nil
 }
--- /dev/null
+++ b/scripts/soak-guards.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Takes one guard after the other out of a scratch copy and runs soak seeds until
+# one reports, at most $1 (default 12) of them. Prints the number of seeds needed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+most=${1:-12}
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+go test -c -o "$scratch/soak.test" ./platform/soak
+guard() { # NAME FILE SED
+  rm -rf "$scratch/copy"
+  mkdir "$scratch/copy"
+  git ls-files -z --cached --others --exclude-standard -- '*.go' go.mod go.sum | xargs -0 cp --parents -t "$scratch/copy"
+  sed -i -E "$3" "$scratch/copy/$2"
+  if cmp -s "$2" "$scratch/copy/$2"; then echo "$1: the guard was not found in $2"; return 1; fi
+  (cd "$scratch/copy" && go build -o "$scratch/mutant" ./cmd/mallowgap)
+  for ((n = 0; n < most; n += 4)); do
+    if ! (cd platform/soak && "$scratch/soak.test" -soak.binary "$scratch/mutant" -soak.seed $((1000 + n)) -soak.seeds 4 -soak.jobs 4 -soak.timed -soak.length 6s) >"$scratch/out" 2>&1; then
+      echo "$1: reported within $((n + 4)) seeds: $(grep -m1 -E '^ {8}[ic]' "$scratch/out" || true)"
+      return 0
+    fi
+  done
+  echo "$1: not reported within $most seeds"
+}
+guard "whole answers" internal/httppool/pool.go 's/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/'
+guard "own answers" internal/httppool/pool.go 's/reusable := .*/reusable := !head.Close/; s/r.Mine != nil \&\& !r.Mine\(head\)/false/; s/\&\& quiet\(c.Conn\)//'
+guard "sent once" internal/gateway/serve.go 's/if !entry.Idempotent \{/if false {/'
+guard "not run" internal/gateway/query.go 's/if !q.uncertain \&\& !q.running\(\) \&\&/if/'
+guard "disjoint blocks" fanout/query.go 's/if !q.anyCovered\(b.Shards\) \{/if true {/'
+guard "floors" fanout/query.go 's/return q.best\[len\(q.best\)-RecordSize:\]/return q.best[:RecordSize]/'
+guard "draining" internal/gateway/fleet.go 's/if s.Draining \{/if false {/'
+guard "planned stop" internal/gateway/server.go 's/if err := s.callers.Shutdown\(ctx\); err != nil/if err := s.callers.Close(); err != nil/; s/cut := g.Drained\(ctx\)/cut := 0/; s/sleep\(ctx, g.settings.GetShutdown\(\).GetBalancerLag\(\).AsDuration\(\)\)//'
+guard "retry budget" retry/window.go 's/if float64\(extra\+1\) > share\*float64\(first\)\+slack \{/if false {/'
