--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -7,12 +7,14 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 go test -c -o "$scratch/soak.test" ./platform/soak
-guard() { # NAME FILE SED
+guard() { # NAME FILES SED
   rm -rf "$scratch/copy"
   mkdir "$scratch/copy"
   git ls-files -z --cached --others --exclude-standard -- '*.go' go.mod go.sum | xargs -0 cp --parents -t "$scratch/copy"
-  sed -i -E "$3" "$scratch/copy/$2"
-  if cmp -s "$2" "$scratch/copy/$2"; then echo "$1: the guard was not found in $2"; return 1; fi
+  for file in $2; do
+    sed -i -E "$3" "$scratch/copy/$file"
+    if cmp -s "$file" "$scratch/copy/$file"; then echo "$1: the guard was not found in $file"; return 1; fi
+  done
   (cd "$scratch/copy" && go build -o "$scratch/mutant" ./cmd/mallowgap)
   for ((n = 0; n < most; n += 4)); do
     if ! (cd platform/soak && "$scratch/soak.test" -soak.binary "$scratch/mutant" -soak.seed $((1000 + n)) -soak.seeds 4 -soak.jobs 4 -soak.timed -soak.length 6s) >"$scratch/out" 2>&1; then
@@ -24,7 +26,7 @@
 }
 guard "whole answers" internal/httppool/pool.go 's/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/'
 guard "own answers" internal/httppool/pool.go 's/reusable := .*/reusable := !head.Close/; s/r.Mine != nil \&\& !r.Mine\(head\)/false/; s/\&\& quiet\(c.Conn\)//'
-guard "sent once" internal/gateway/serve.go 's/if !entry.Idempotent \{/if false {/'
+guard "sent once" "internal/gateway/serve.go internal/gateway/query.go" 's/if !(q.)?entry.Idempotent \{/if false {/'
 guard "not run" internal/gateway/query.go 's/if !q.uncertain \&\& !q.running\(\) \&\&/if/'
 guard "disjoint blocks" fanout/query.go 's/if !q.anyCovered\(b.Shards\) \{/if true {/'
 guard "floors" fanout/query.go 's/return q.best\[len\(q.best\)-RecordSize:\]/return q.best[:RecordSize]/'
