--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	loaded   bool
 	followed uint64
 
+	started  time.Time
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	duties   sync.WaitGroup
@@ -63,12 +64,20 @@
 		requests: newRequestLog(log, int(settings.GetLog().GetRequestsPerSecond())),
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		peers:    newPeerHealth(),
+		started:  time.Now(),
 	}
 	g.control = newControl(g.name, edges.Store, f, int(settings.GetRelay().GetHostsPerDomain()), log)
 	g.control.onGone = func(s discovery.Server) { go edges.Leafs.Forget(s) }
 	return g
 }
 
+// startedShare is the part of the slack of the retry budget that a host uses in
+// its first window: the process before it may have used its own.
+func (g *Gateway) startedShare(now time.Time) float64 {
+	window := g.settings.GetRetry().GetWindow().AsDuration()
+	return min(1, 0.5+0.5*float64(now.Sub(g.started))/float64(window))
+}
+
 // regions reads DOMAIN=REGION, comma-separated.
 func regions(text string) map[string]string {
 	m := map[string]string{}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -64,7 +64,8 @@
 	counted []bool
 	// refusals counts what servers refused, all shards together.
 	refusals int
-	offered  bool
+	// arrived tells that an attempt reached a server, or may have.
+	arrived bool
 	// uncertain tells that an attempt may have run and brought no answer.
 	uncertain bool
 	// reply is the best reply of a request that is not a query.
@@ -103,11 +104,13 @@
 	}()
 	for {
 		now := time.Now()
-		q.launch(calls, now)
+		if now.Before(q.end) {
+			q.launch(calls, now)
+		}
 		if q.state.Finished(now) {
 			return q.answer(now)
 		}
-		if !q.offered && !now.Before(q.offerBy) {
+		if !q.offered() && !now.Before(q.offerBy) {
 			return notRun(q.code, q.failure, q.retryAfter())
 		}
 		if left := q.wait(ctx, now); left {
@@ -116,6 +119,16 @@
 	}
 }
 
+// anyServer reports whether some service of the request has a server.
+func (q *query) anyServer() bool {
+	for _, g := range q.groups {
+		if g.size() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // release ends the calls that still run: at once where the caller has left,
 // else after a while.
 func (q *query) release(ctx context.Context, cancel context.CancelFunc) {
@@ -126,6 +139,9 @@
 	time.AfterFunc(lingerTime, cancel)
 }
 
+// offered reports whether a server has the request, had it, or is being sent it.
+func (q *query) offered() bool { return q.arrived || q.running() }
+
 func (q *query) running() bool {
 	for n := range q.groups {
 		if q.state.Running(n) > 0 {
@@ -139,7 +155,7 @@
 // has left.
 func (q *query) wait(ctx context.Context, now time.Time) bool {
 	next := q.state.Next(now)
-	if !q.offered && q.offerBy.Before(next) {
+	if !q.offered() && q.offerBy.Before(next) {
 		next = q.offerBy
 	}
 	timer := time.NewTimer(max(next.Sub(now), 0))
@@ -170,6 +186,7 @@
 func (q *query) take(e event) {
 	block := fanout.Block{Records: e.records, Floor: e.floor}
 	for _, r := range e.results {
+		q.arrived = q.arrived || r.outcome != relaypb.Outcome_NOT_SENT
 		switch r.outcome {
 		case relaypb.Outcome_PART:
 			q.state.Ended(r.shard)
@@ -325,7 +342,8 @@
 	if kind == hedgeAttempt {
 		part = hedgePart
 	}
-	return g.extra(part*budgetShare*s.GetShare(), part*slackShare*s.GetSlack()/hosts, now)
+	slack := q.gateway.startedShare(now) * slackShare * s.GetSlack() / hosts
+	return g.extra(part*budgetShare*s.GetShare(), part*slack, now)
 }
 
 func (q *query) count(kind attemptKind) {
@@ -358,7 +376,6 @@
 
 // sent notes an attempt that is being made.
 func (q *query) sent(a attempt, now time.Time, relayed bool) {
-	q.offered = true
 	hedgeAt := time.Time{}
 	if q.entry.Idempotent {
 		hedgeAt = now.Add(q.hedgeDelay(relayed))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,8 +14,9 @@
 	endMargin = 20 * time.Millisecond
 	// offerShare is the share of the objective within which a request must
 	// have been offered to a server; otherwise it is refused, so that the
-	// caller can still be served elsewhere in time.
-	offerShare = 0.25
+	// caller can still be served elsewhere in time. A little less than the
+	// quarter that the users allow.
+	offerShare = 0.2
 	// comeBack is the least time after which a refused caller is asked to come
 	// back.
 	comeBack = 50 * time.Millisecond
@@ -68,6 +69,9 @@
 	if !time.Now().Before(p.end) {
 		return notRun(CodeNoTime, "no time is left", comeBack)
 	}
+	if !p.anyServer() {
+		return notRun(CodeNoServer, errNoServer.Error(), p.retryAfter())
+	}
 	return p.run(ctx)
 }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -10,7 +10,10 @@
 // as a share of its first attempts in the same span plus a slack. It is not
 // safe for concurrent use.
 type Window struct {
-	span   time.Duration
+	span time.Duration
+	// epoch is the first time seen: slices are counted from there, on the
+	// steady clock, as the time of day may jump.
+	epoch  time.Time
 	slices [windowSlices + 1]windowSlice
 }
 
@@ -49,7 +52,10 @@
 }
 
 func (w *Window) number(now time.Time) int64 {
-	return now.UnixNano() / int64(w.span/windowSlices)
+	if w.epoch.IsZero() {
+		w.epoch = now.Add(-w.span)
+	}
+	return int64(now.Sub(w.epoch) / (w.span / windowSlices))
 }
 
 func (w *Window) slice(now time.Time) *windowSlice {
