--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Takes one guard after the other out of a scratch copy and runs soak seeds until
 # one reports, at most $1 (default 12) of them. Prints the number of seeds needed.
+# GUARD=NAME runs one guard only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 most=${1:-12}
@@ -8,6 +9,7 @@
 trap 'rm -rf "$scratch"' EXIT
 go test -c -o "$scratch/soak.test" ./platform/soak
 guard() { # NAME FILES SED
+  [[ -z ${GUARD:-} || $1 == "$GUARD" ]] || return 0
   rm -rf "$scratch/copy"
   mkdir "$scratch/copy"
   git ls-files -z --cached --others --exclude-standard -- '*.go' go.mod go.sum | xargs -0 cp --parents -t "$scratch/copy"
@@ -31,5 +33,5 @@
 guard "disjoint blocks" fanout/query.go 's/if !q.anyCovered\(b.Shards\) \{/if true {/'
 guard "floors" fanout/query.go 's/return q.best\[len\(q.best\)-RecordSize:\]/return q.best[:RecordSize]/'
 guard "draining" internal/gateway/fleet.go 's/if s.Draining \{/if false {/'
-guard "planned stop" internal/gateway/server.go 's/if err := s.callers.Shutdown\(ctx\); err != nil/if err := s.callers.Close(); err != nil/; s/cut := g.Drained\(ctx\)/cut := 0/; s/sleep\(ctx, g.settings.GetShutdown\(\).GetBalancerLag\(\).AsDuration\(\)\)//'
+guard "planned stop" internal/gateway/server.go 's/s.callers.Shutdown\(ctx\)/s.callers.Close()/; s/cut := g.Drained\(ctx\)/cut, _ := 0, ctx/; s/sleep\(ctx, g.settings.GetShutdown\(\).GetBalancerLag\(\).AsDuration\(\)\)//'
 guard "retry budget" retry/window.go 's/if float64\(extra\+1\) > share\*float64\(first\)\+slack \{/if false {/'
