Mutants for the platform's guards; large files split; examples and benchmarks

query.go and fleet.go had two jobs each: attempts and the choice of servers have files of their own. scripts/mutants.sh gets 20 mutants, one for each new guard. Nothing changes in behaviour.

--- a/discovery/registry_test.go
+++ b/discovery/registry_test.go
@@ -57,3 +57,14 @@
 	fmt.Println(discovery.ByService(r.Servers())["tags"][0].Address)
 	// Output: 10.0.0.1:80
 }
+
+func BenchmarkServers(b *testing.B) {
+	r := discovery.NewRegistry()
+	for i := range 1000 {
+		r.Put(discovery.Server{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("s", i%100)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		discovery.ByService(r.Servers())
+	}
+}
--- a/fanout/query_test.go
+++ b/fanout/query_test.go
@@ -189,3 +189,19 @@
 		})
 	}
 }
+
+func ExampleQuery() {
+	q := fanout.New(fanout.Settings{Shards: 2, Top: 1, MinShare: 0.5, MaxAttempts: 2, AnswerAt: after(80), End: after(1000)})
+	q.Sent(0, after(30))
+	q.Sent(1, after(30))
+	q.Ended(0)
+	q.Offer(fanout.Block{Shards: []int{0}, Signatures: []string{"part-0"}, Records: []byte("record-000000001")})
+	fmt.Println(q.Finished(after(10)), len(q.Needs(after(10))))
+	fmt.Println(len(q.Needs(after(30))), "shard may get a second attempt")
+	a := q.Answer()
+	fmt.Println(q.Finished(after(80)), a.Signatures, a.Missing)
+	// Output:
+	// false 0
+	// 1 shard may get a second attempt
+	// true [part-0] 1
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mallowgap/mallowgap/fanout"
+	"github.com/mallowgap/mallowgap/replica"
+)
+
+// attempt is one call about to be made.
+type attempt struct {
+	shard int
+	kind  attemptKind
+	call  *call
+}
+
+// launch makes the attempts that are due.
+func (q *query) launch(ctx context.Context, now time.Time) {
+	var direct []attempt
+	relayed := map[string][]attempt{}
+	for _, need := range q.state.Needs(now) {
+		a, ok := q.prepare(need, now)
+		if !ok {
+			continue
+		}
+		if domain := a.call.backend.Domain; q.useRelay(domain) {
+			relayed[domain] = append(relayed[domain], a)
+		} else {
+			direct = append(direct, a)
+		}
+	}
+	for domain, attempts := range relayed {
+		relay, ok := q.gateway.peers.choose(q.view.relays(domain, q.relayCount()), q.gateway.name, now)
+		if !ok {
+			direct = append(direct, attempts...)
+			continue
+		}
+		q.sendRelayed(ctx, relay, attempts, now)
+	}
+	for _, a := range direct {
+		q.sendDirect(ctx, a, now)
+	}
+}
+
+func (q *query) relayCount() int { return int(q.gateway.settings.GetRelay().GetHostsPerDomain()) }
+
+// useRelay reports whether servers of a domain are called through a relay. A
+// request that is not a query goes directly: there is nothing to merge.
+func (q *query) useRelay(domain string) bool {
+	if q.entry.Query == nil {
+		return false
+	}
+	if domain == q.gateway.self.GetDomain() {
+		return !q.view.isRelay(q.gateway.name, domain, q.relayCount())
+	}
+	return true
+}
+
+// prepare takes a server and, for an extra attempt, a token of the budget.
+func (q *query) prepare(need fanout.Need, now time.Time) (attempt, bool) {
+	kind := firstAttempt
+	if need.Hedge {
+		kind = hedgeAttempt
+	} else if !need.First {
+		kind = retryAttempt
+	}
+	g := q.groups[need.Shard]
+	c, err := g.pick(now, wish{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion, probeEvery: q.probeEvery()})
+	if err != nil {
+		q.postpone(need, err, now)
+		return attempt{}, false
+	}
+	if kind != firstAttempt && !q.takeBudget(g, kind, now) {
+		c.end(callUntold, 0, now)
+		countDenied(kind)
+		q.trace.denied++
+		q.state.Later(need.Shard, now.Add(deniedRetry))
+		return attempt{}, false
+	}
+	if !q.counted[need.Shard] {
+		q.counted[need.Shard] = true
+		g.first(now)
+	}
+	q.tried[need.Shard] = append(q.tried[need.Shard], c.backend.ID)
+	q.count(kind)
+	return attempt{shard: need.Shard, kind: kind, call: c}, true
+}
+
+// probeEvery is how often a server that is slow or failed gets a request like
+// this one: rarely where the caller pays for it with its time.
+func (q *query) probeEvery() time.Duration {
+	if q.entry.Query != nil {
+		return replica.ProbeEvery
+	}
+	return singleProbeEvery
+}
+
+func (q *query) takeBudget(g *group, kind attemptKind, now time.Time) bool {
+	s := q.gateway.settings.GetRetry()
+	hosts := float64(max(q.view.count, 1))
+	part := 1.0
+	if kind == hedgeAttempt {
+		part = hedgePart
+	}
+	slack := q.gateway.startedShare(now) * slackShare * s.GetSlack() / hosts
+	return g.extra(part*budgetShare*s.GetShare(), part*slack, now)
+}
+
+func (q *query) count(kind attemptKind) {
+	switch kind {
+	case firstAttempt:
+		q.trace.first++
+	case retryAttempt:
+		q.trace.retries++
+	case hedgeAttempt:
+		q.trace.hedges++
+	}
+}
+
+// postpone puts off a shard for which no server can be had.
+func (q *query) postpone(need fanout.Need, err error, now time.Time) {
+	q.failure = err.Error()
+	q.code = CodeNoServer
+	if errors.Is(err, errNoSlot) {
+		q.code = CodeBusy
+	}
+	switch {
+	case need.Hedge:
+		q.state.Later(need.Shard, now.Add(deniedRetry))
+	case errors.Is(err, errNoSlot):
+		q.state.Later(need.Shard, now.Add(slotRetry))
+	default:
+		q.state.Later(need.Shard, now.Add(deniedRetry))
+	}
+}
+
+// sent notes an attempt that is being made.
+func (q *query) sent(a attempt, now time.Time, relayed bool) {
+	hedgeAt := time.Time{}
+	if q.entry.Idempotent {
+		hedgeAt = now.Add(q.hedgeDelay(relayed))
+	}
+	q.state.Sent(a.shard, hedgeAt)
+	if a.kind != firstAttempt {
+		q.trace.note("shard %d: %s to %s in %s at %v", a.shard, a.kind, a.call.backend.ID, a.call.backend.Domain, now.Sub(q.request.Arrived))
+	}
+}
+
+func (q *query) hedgeDelay(relayed bool) time.Duration {
+	fallback := time.Duration(hedgeCap * float64(q.objective))
+	return q.gateway.latency.delay(latencyKey{q.entry.Name, relayed}, fallback)
+}
--- /dev/null
+++ b/internal/gateway/pick.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mallowgap/mallowgap/replica"
+)
+
+// call is a slot taken on a server for one request.
+type call struct {
+	group   *group
+	backend *backend
+	started time.Time
+}
+
+// wish says what kind of slot a request wants.
+type wish struct {
+	// tried are the servers that were sent the request. They are avoided; where
+	// no other is left, a request that is not a hedge may go there again.
+	tried []string
+	hedge bool
+	// region is the far region to prefer to others that are as far, so that
+	// one relay serves all far shards of a query; empty for none.
+	region string
+	// probeEvery is how often an avoided server gets a request of this kind.
+	probeEvery time.Duration
+}
+
+// pick takes a slot on the server that should get a request at now.
+func (g *group) pick(now time.Time, w wish) (*call, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	exclude := g.mask(w.tried)
+	if !g.set.Reachable(exclude) {
+		if w.hedge || !g.set.Reachable(0) {
+			return nil, errNoServer
+		}
+		exclude = 0
+	}
+	i := replica.None
+	if !w.hedge && len(w.tried) == 0 {
+		i = g.set.Probe(now, exclude, w.probeEvery)
+	}
+	if i == replica.None {
+		i = g.pickFar(now, w.region, exclude)
+	}
+	if i == replica.None {
+		i = g.set.Pick(now, 0, exclude)
+	}
+	if i == replica.None || !g.set.Acquire(i, now) {
+		return nil, errNoSlot
+	}
+	return &call{group: g, backend: g.members[i], started: now}, nil
+}
+
+// pickFar picks among the servers of one far region where none is nearer,
+// unless another far server is expected to answer much sooner.
+func (g *group) pickFar(now time.Time, region string, exclude uint64) int {
+	if region == "" {
+		return replica.None
+	}
+	for i, b := range g.members {
+		if b.leaf.Distance < farDistance {
+			return replica.None
+		}
+		if b.region != region {
+			exclude |= 1 << i
+		}
+	}
+	if !g.set.Reachable(exclude) {
+		return replica.None
+	}
+	i := g.set.Pick(now, 0, exclude)
+	if i == replica.None || g.muchSlower(i, now) {
+		return replica.None
+	}
+	return i
+}
+
+// muchSlower reports whether another server is expected to answer in much less
+// time than the i-th.
+func (g *group) muchSlower(i int, now time.Time) bool {
+	own := g.set.Expected(i, now)
+	for j := range g.members {
+		if j != i && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)))+slowerMargin {
+			return true
+		}
+	}
+	return false
+}
+
+// take takes a slot on one given server.
+func (g *group) take(b *backend, now time.Time) (*call, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b.leaf.Leaving {
+		return nil, errNoServer
+	}
+	if !b.leaf.Slots.Acquire(now) {
+		return nil, errNoSlot
+	}
+	return &call{group: g, backend: b, started: now}, nil
+}
+
+func (g *group) mask(ids []string) uint64 {
+	var mask uint64
+	for i, b := range g.members {
+		for _, id := range ids {
+			if b.ID == id {
+				mask |= 1 << i
+			}
+		}
+	}
+	return mask
+}
+
+// size returns the number of servers in service.
+func (g *group) size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members)
+}
+
+// end gives the slot back and notes what became of the call. It reports
+// whether the server was ejected for it.
+func (c *call) end(result callResult, elapsed time.Duration, now time.Time) bool {
+	g := c.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	leaf := c.backend.leaf
+	leaf.Slots.Release()
+	if result == callMoved {
+		leaf.Leaving = true
+	}
+	i := c.index()
+	if i == replica.None {
+		return false
+	}
+	switch result {
+	case callServed:
+		g.set.Answered(i, elapsed, now)
+	case callShed:
+		g.set.Refused(i, now)
+	case callCut:
+		g.set.CutShort(i, elapsed)
+	case callFailed:
+		return g.set.Failed(i, now)
+	}
+	return false
+}
+
+func (c *call) index() int {
+	for i, b := range c.group.members {
+		if b.leaf == c.backend.leaf {
+			return i
+		}
+	}
+	return replica.None
+}
+
+// callResult is what a call tells about its server.
+type callResult int
+
+const (
+	// callServed: the server answered.
+	callServed callResult = iota
+	// callFailed: the server failed or could not be reached.
+	callFailed
+	// callShed: the server was full.
+	callShed
+	// callMoved: the address belongs to another server.
+	callMoved
+	// callCut: the call was given up before an answer came.
+	callCut
+	// callUntold: the call says nothing about the server.
+	callUntold
+)
+
+// first notes a first attempt at the service.
+func (g *group) first(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window.First(1, now)
+}
+
+// extra takes an extra attempt from the budget of the service.
+func (g *group) extra(share, slack float64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.window.Take(share, slack, now)
+}
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,26 @@
 		}
 	})
 }
+
+func ExampleWindow() {
+	w := retry.NewWindow(10 * time.Second)
+	now := time.Unix(0, 0)
+	w.First(10, now)
+	fmt.Println(w.Take(0.2, 0, now), w.Take(0.2, 0, now), w.Take(0.2, 0, now))
+	now = now.Add(11 * time.Second)
+	fmt.Println(w.Take(0.2, 0, now))
+	// Output:
+	// true true false
+	// false
+}
+
+func BenchmarkWindow(b *testing.B) {
+	w := retry.NewWindow(10 * time.Second)
+	now := time.Unix(0, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		w.First(1, now)
+		w.Take(0.2, 10, now)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,14 +16,14 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning ($file no longer has it)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./internal/invariant/ ./config/ -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./internal/invariant ./config ./internal/gateway ./fanout ./route ./discovery ./retry ./replica ./platform -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
     echo "BROKEN   $test: $meaning: $(grep -m1 . "$scratch/out")"
     survived=1
   else
-    echo "caught   $test: $meaning: $(grep -m1 -oE '(snapshot|coverage|correlation|not run|at most once|draining|graceful stop|configuration): .{0,80}|panic.{0,60}|build failed' "$scratch/out")"
+    echo "caught   $test: $meaning: $(grep -m1 -oE '(snapshot|coverage|correlation|not run|at most once|draining|graceful stop|configuration): .{0,80}|panic.{0,60}|build failed|assertion failed.{0,60}|failed after.{0,60}' "$scratch/out")"
   fi
 done <<'LIST'
 TestInvariantSnapshot@scatter/gather.go@s/if part.Snapshot.Version != g.snapshot.Version \{/if false {/@a part of another index version is merged
@@ -44,5 +44,25 @@
 TestInvariantConfiguration|TestHolderNeverGoesBack@config/holder.go@s/if head.GetRevision\(\) <= h.Revision\(\) \{\n/if head.GetRevision() == h.Revision() {\n/g@an older revision is put in force
 TestInvariantConfiguration@config/editor.go@s/err := e.persist\(ctx, func\(\) error \{\n\t\tvar err error\n\t\tswapped, err = e.Store.CompareAndSwap\(ctx, HeadKey, version, encoded\)\n\t\treturn err\n\t\}\)\n\tif err != nil \{\n\t\treturn 0, fmt.Errorf\("%w \(%v\)", ErrUnknown, err\)/swapped, err := e.Store.CompareAndSwap(ctx, HeadKey, version, encoded)\n\tif err != nil {\n\t\treturn 0, fmt.Errorf("%w (%v)", ErrUnavailable, err)/@a lost reply is taken for a refusal
 TestInvariantConfiguration@config/editor.go@s/(return 0, fmt.Errorf\("%w \(%v\)", ErrUnknown, err\)\n\t\}\n)\tif revision, done := acceptedAs\(head, changeID\); done \{\n\t\treturn revision, nil\n\t\}\n/$1/@a change that landed is called a conflict
+TestHolderNeverGoesBack@route/table.go@s/config.Version <= h.table.Version\(\)/config.Version == h.table.Version()/@an older configuration of the platform is put in force
+TestAnswersAreTrue@fanout/query.go@s/if !q.anyCovered\(b.Shards\) \{/if true {/@a shard is in an answer twice
+TestFloorLeavesOutWhatCannotCount@fanout/query.go@s/blocks := settle\(q.settings.Top, (.*)\)\n/blocks := $1\n/@a block whose floor does not hold is counted
+TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if r.away \|\| now.Before\(r.trustFrom\) \{\n\t\te.missing/if false {\n\t\te.missing/@entries that lapse in an outage are gone at once
+TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.counted\[need.Shard\] \{/if kind == firstAttempt {/@tries that reach nobody earn budget
+TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.uncertain && !q.running\(\) &&/if/@a request that may have run is called not run
+TestDrainingServerGetsNothingNew@internal/gateway/fleet.go@s/if s.Draining \{/if false {/@a draining server gets requests
+TestCallerThatLeavesEndsItsCalls@internal/gateway/query.go@s/stop := context.AfterFunc\(ctx, cancel\)/stop := func() bool { return true }/@calls go on after the caller has left
+TestFollowersLearnInTimeWhateverBecomesOfTheLeader@internal/gateway/follow.go@s/time.After\(silenceLimit\)/time.After(time.Hour)/@a silent leader is followed for ever
+TestNoTwoHostsFollowEachOther@internal/gateway/follow.go@s/>= 0 \{/> 1 {/@two hosts follow each other
+TestConnectionsLeaveRoomForARestart@internal/gateway/fleet.go@s/connShare = 0.45/connShare = 0.9/@connections of before and after a power loss do not fit
+TestWindowHoldsOverAnySpan@retry/window.go@s/> share\*float64\(first\)\+slack/> 2*share*float64(first)+slack/@the window permits too much
+TestOneSilentServerOfARelayCostsOneHedge@internal/gateway/query.go@s/softCap = 0.2/softCap = 0.9/@a relay holds its parts back
+TestRequestThatReachesNobodyIsRefusedSoon@internal/gateway/query.go@s/return q.arrived \|\| q.running\(\)/return true/@a send that reached nobody counts as an offer
+TestRefusingReplicaIsChosenLess@replica/set.go@s/refusalCost = 150/refusalCost = 0/@refusals cost nothing
+TestLateExtraAnswerBelongsToNobody@internal/httppool/pool.go@s/!r.Mine\(head\)/false/@a late answer to another request is taken
+TestBrokenAnswersAreErrors@internal/httppool/pool.go@s/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/@a truncated answer is taken
+TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go@s/ && c.reader.Buffered\(\) == 0//; s/ && quiet\(c.Conn\)//@a connection with bytes of nobody is used again
+TestEarlyAnswerToALongBodyEndsTheConnection@internal/httppool/pool.go@s/return response, false, err\n\t\}\n\}/return response, true, err\n\t}\n}/@the rest of a body meets another request
+TestHostStartsSoonWhereTheStoreIsSilent@internal/gateway/sync.go@s/if v.storeLost.IsZero\(\) && v.revision > 0 \{/if v.storeLost.IsZero() {/@a starting host waits for a silent store
 LIST
 exit $survived
