Connections to single services are divided by all hosts

Cause: the limit was divided by the relays of the server's domain, but every host calls the servers of a service that is not a shard: on the grown sites 60 hosts could open 63 connections each to a server that accepts 420. Change: the table knows which services are shards; others are divided by all. TestConnectionsLeaveRoomForARestart asks for both.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -288,6 +288,8 @@
 		hosts := len(v.relays("a1", 3))
 		assert.Equal(t, hosts, 2)
 		assert.Assert(t, 2*hosts*v.conns(server, 3) <= 26, "%d connections a host", v.conns(server, 3))
+		single := discovery.Server{Service: "single", Domain: "a1"}
+		assert.Assert(t, 2*len(w.hosts)*v.conns(single, 3) <= 60, "every host calls it: %d connections a host", v.conns(single, 3))
 	})
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -101,7 +101,8 @@
 }
 
 // conns returns how many connections this host may open to a server: a part of
-// those that the server accepts, divided by the relays of its domain.
+// those that the server accepts, divided by the hosts that call it. Those are
+// the relays of its domain for a shard, and all hosts for other services.
 func (v *view) conns(s discovery.Server, relaysPerDomain int) int {
 	if v.table == nil {
 		return defaultConns
@@ -110,6 +111,10 @@
 	if cap <= 0 {
 		return defaultConns
 	}
-	sharers := max(len(v.relays(s.Domain, relaysPerDomain)), 1)
+	sharers := v.count
+	if v.table.IsShard(s.Service) {
+		sharers = len(v.relays(s.Domain, relaysPerDomain))
+	}
+	sharers = max(sharers, 1)
 	return max(int(connShare*float64(cap))/sharers, 1)
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -110,7 +110,7 @@
 // one service at /one/.
 func shardedConfig(version uint64, n int) route.Config {
 	var shards []string
-	var services []route.Service
+	services := []route.Service{{Name: "single", MaxConns: 60}}
 	for i := range n {
 		shards = append(shards, fmt.Sprint("shard", i))
 		services = append(services, route.Service{Name: shards[i], MaxConns: 26})
--- a/route/table.go
+++ b/route/table.go
@@ -13,6 +13,7 @@
 	config   Config
 	byHost   map[string][]*Entry
 	services map[string]Service
+	shards   map[string]bool
 }
 
 // Entry is a route of a table.
@@ -23,8 +24,9 @@
 
 // NewTable returns the table of a valid configuration.
 func NewTable(config Config) *Table {
-	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}}
+	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}}
 	for _, r := range config.Routes {
+		t.addShards(r.Query)
 		e := &Entry{Route: r}
 		e.split.current = make([]float64, len(r.Targets))
 		t.byHost[r.Host] = append(t.byHost[r.Host], e)
@@ -38,6 +40,18 @@
 	return t
 }
 
+func (t *Table) addShards(q *Query) {
+	if q == nil {
+		return
+	}
+	for _, shard := range q.Shards {
+		t.shards[shard] = true
+	}
+}
+
+// IsShard reports whether a service is a shard of some query.
+func (t *Table) IsShard(service string) bool { return t.shards[service] }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.config.Version }
 
