What ran is not called not run; unsigned successes; bounded memory of routes

Change: any failure of a server counts as a possible run; an unsigned success is a failure; answers below 500 are final; a table that comes into force drops what belongs to other routes.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -33,8 +33,10 @@
 	log     zerolog.Logger
 	current atomic.Pointer[view]
 	actions chan func()
-	// onGone is called with servers that left the registry.
-	onGone func(discovery.Server)
+	// onGone is called with servers that left the registry, onTable with each
+	// table that comes into force.
+	onGone  func(discovery.Server)
+	onTable func(*route.Table)
 
 	holder     route.Holder
 	tableSince time.Time
@@ -214,6 +216,7 @@
 	}
 	if adopted {
 		c.tableSince = now
+		c.onTable(c.holder.Table())
 		c.log.Info().Uint64("version", config.Version).Uint64("revision", e.Revision).Int("routes", len(config.Routes)).Msg("configuration in force")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/api/settingspb"
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/route"
 )
 
 // Edges are the adapters that a gateway works through.
@@ -68,6 +69,10 @@
 	}
 	g.control = newControl(g.name, edges.Store, f, int(settings.GetRelay().GetHostsPerDomain()), log)
 	g.control.onGone = func(s discovery.Server) { go edges.Leafs.Forget(s) }
+	g.control.onTable = func(t *route.Table) {
+		g.latency.forgetOthers(t.HasRoute)
+		forgetRoutes(t.HasRoute)
+	}
 	return g
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -340,3 +340,52 @@
 		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
+
+// answers replies with a status and, where it is not empty, a signature.
+func answers(status int, signature string) behaviour {
+	return func(context.Context, *Request) (*Reply, error) {
+		return &Reply{Status: status, Signature: signature, Body: []byte("no record")}, nil
+	}
+}
+
+// A query whose servers all ran it and failed was once answered as not run.
+func TestQueryThatRanAndFailedIsNotCalledNotRun(t *testing.T) {
+	inWorld(t, shardedConfig(1, 3), serversOf(shardNames(3), "a1"), oneHost, func(w *world) {
+		for _, shard := range shardNames(3) {
+			w.leafs.set(shard, answers(500, "ran"))
+		}
+		assert.Equal(t, w.ask("host1", "/q/x").Outcome, Failed)
+	})
+}
+
+// A success without a signature proves nothing; it was once passed on.
+func TestSuccessWithoutASignatureIsNoSuccess(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(w *world) {
+		w.leafs.set("single", answers(200, ""))
+		assert.Equal(t, w.ask("host1", "/one/x").Outcome, Failed)
+	})
+}
+
+func TestServersRefusalOfARequestIsPassedOnAtOnce(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1", "a2"), oneHost, func(w *world) {
+		w.leafs.set("single", answers(404, "ran"))
+		a := w.ask("host1", "/one/x")
+		assert.Equal(t, a.Outcome, Forwarded)
+		assert.Equal(t, a.Reply.Status, 404)
+		assert.Equal(t, w.leafs.arrivals("single"), 1, "another server would say the same")
+	})
+}
+
+// What a host remembers of routes goes with them: routes come and go all day.
+func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
+	inWorld(t, shardedConfig(1, 2), serversOf(shardNames(2), "a1"), oneHost, func(w *world) {
+		w.ask("host1", "/q/x")
+		g := w.hosts["host1"]
+		assert.Equal(t, len(g.latency.delays), 1)
+		next := shardedConfig(2, 2)
+		next.Routes = next.Routes[1:]
+		w.store.putConfig(next)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(g.latency.delays), 0)
+	})
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -30,6 +30,18 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_requests_total{route=%q,outcome=%q,cause=%q}", route, a.Outcome, a.Code)).Inc()
 }
 
+// forgetRoutes removes the metrics of routes that keep does not know, so that
+// their number stays bounded while routes come and go.
+func forgetRoutes(keep func(route string) bool) {
+	for _, name := range metrics.ListMetricNames() {
+		_, label, found := strings.Cut(name, "{route=\"")
+		route, _, _ := strings.Cut(label, "\"")
+		if found && route != "" && !keep(route) {
+			metrics.UnregisterMetric(name)
+		}
+	}
+}
+
 func observeDuration(route string, d time.Duration) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("mallowgap_request_duration_seconds{route=%q}", route)).Update(d.Seconds())
 }
@@ -101,6 +113,17 @@
 	return d
 }
 
+// forgetOthers forgets the routes that keep does not know.
+func (l *latencies) forgetOthers(keep func(route string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key := range l.delays {
+		if !keep(key.route) {
+			delete(l.delays, key)
+		}
+	}
+}
+
 func (l *latencies) observe(key latencyKey, latency time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -170,7 +193,9 @@
 func (p *peerHealth) end(address string, answered bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.running[address]--
+	if p.running[address]--; p.running[address] <= 0 {
+		delete(p.running, address)
+	}
 	if answered {
 		delete(p.failures, address)
 		delete(p.until, address)
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
@@ -64,8 +65,8 @@
 	refusals int
 	// arrived tells that an attempt reached a server, or may have.
 	arrived bool
-	// uncertain tells that an attempt may have run and brought no answer.
-	uncertain bool
+	// mayHaveRun tells that a server failed at the request, or may have run it.
+	mayHaveRun bool
 	// reply is the best reply of a request that is not a query.
 	reply *Reply
 	// failure is the last reason for which an attempt failed, code its kind.
@@ -228,19 +229,22 @@
 	q.trace.note("shard %d: %s failed after %v: %s", r.shard, r.server, r.elapsed, r.reason)
 	q.failure = r.reason
 	q.code = CodeServerFailed
+	q.mayHaveRun = true
 	q.state.Ended(r.shard)
 	if r.reply != nil {
-		if q.reply == nil || !q.reply.OK() {
-			q.reply = r.reply
-		}
-	} else {
-		q.uncertain = true
+		q.reply = r.reply
 	}
-	if !q.entry.Idempotent {
+	if !q.entry.Idempotent || r.final() {
 		q.state.GiveUp(r.shard)
 	}
 }
 
+// final reports whether another server would answer alike: the request itself
+// is at fault.
+func (r result) final() bool {
+	return r.reply != nil && r.reply.Status < http.StatusInternalServerError
+}
+
 // retryAfter is when a caller that was refused should come back.
 func (q *query) retryAfter() time.Duration {
 	return max(comeBack, time.Duration(offerShare*float64(q.objective)))
@@ -254,7 +258,7 @@
 	if q.entry.Query == nil && q.reply != nil {
 		return Answer{Outcome: Forwarded, Reply: q.reply, Code: CodeServerFailed, Reason: "the server failed"}
 	}
-	if !q.uncertain && !q.running() && q.state.CoveredCount() == 0 {
+	if !q.mayHaveRun && !q.running() && q.state.CoveredCount() == 0 {
 		return notRun(q.code, q.failure, q.retryAfter())
 	}
 	if q.running() {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,10 +49,17 @@
 	return out
 }
 
+// errUnsigned says that a success lacks the proof that the server ran the
+// request.
+var errUnsigned = errors.New("the server's success has no signature")
+
 // judge fills in what a reply or an error means, and returns what it tells
 // about the server.
 func judge(out *result, reply *Reply, err error, cut bool) callResult {
-	if err == nil && reply.OK() && reply.Signature != "" {
+	if err == nil && reply.OK() && reply.Signature == "" {
+		err = errUnsigned
+	}
+	if err == nil && reply.OK() {
 		out.outcome = relaypb.Outcome_PART
 		out.signature = reply.Signature
 		out.reply = reply
--- a/route/table.go
+++ b/route/table.go
@@ -14,6 +14,7 @@
 	byHost   map[string][]*Entry
 	services map[string]Service
 	shards   map[string]bool
+	names    map[string]bool
 }
 
 // Entry is a route of a table.
@@ -24,8 +25,9 @@
 
 // NewTable returns the table of a valid configuration.
 func NewTable(config Config) *Table {
-	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}}
+	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}, names: map[string]bool{}}
 	for _, r := range config.Routes {
+		t.names[r.Name] = true
 		t.addShards(r.Query)
 		e := &Entry{Route: r}
 		e.split.current = make([]float64, len(r.Targets))
@@ -52,6 +54,9 @@
 // IsShard reports whether a service is a shard of some query.
 func (t *Table) IsShard(service string) bool { return t.shards[service] }
 
+// HasRoute reports whether a route of the name exists.
+func (t *Table) HasRoute(name string) bool { return t.names[name] }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.config.Version }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -49,7 +49,7 @@
 TestFloorLeavesOutWhatCannotCount@fanout/query.go@s/blocks := settle\(q.settings.Top, (.*)\)\n/blocks := $1\n/@a block whose floor does not hold is counted
 TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if r.away \|\| now.Before\(r.trustFrom\) \{\n\t\te.missing/if false {\n\t\te.missing/@entries that lapse in an outage are gone at once
 TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.counted\[need.Shard\] \{/if kind == firstAttempt {/@tries that reach nobody earn budget
-TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.uncertain && !q.running\(\) &&/if/@a request that may have run is called not run
+TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.mayHaveRun && !q.running\(\) &&/if/@a request that may have run is called not run
 TestDrainingServerGetsNothingNew@internal/gateway/fleet.go@s/if s.Draining \{/if false {/@a draining server gets requests
 TestCallerThatLeavesEndsItsCalls@internal/gateway/query.go@s/if ctx.Err\(\) != nil \|\| !q.running\(\)/if !q.running()/@calls go on after the caller has left
 TestFollowersLearnInTimeWhateverBecomesOfTheLeader@internal/gateway/follow.go@s/time.After\(silenceLimit\)/time.After(time.Hour)/@a silent leader is followed for ever
