--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -246,7 +246,12 @@
 type trace struct {
 	first, retries, hedges, denied int
 	relayed                        int
-	// missing names the shards that are not in the answer.
+	// limit is for how long the request could be worked on.
+	limit time.Duration
+	// servers are those that were sent a request that is not a query.
+	servers []string
+	// missing names the shards that are not in the answer, with the servers
+	// that were sent the request.
 	missing []string
 	notes   []string
 	dropped int
@@ -301,6 +306,12 @@
 	if a.Outcome == Gathered {
 		e = e.Int("parts", len(a.Gathered.Signatures)).Int("missing", a.Gathered.Missing)
 	}
+	if t.limit > 0 {
+		e = e.Dur("limit", t.limit)
+	}
+	if len(t.servers) > 0 {
+		e = e.Strs("servers", t.servers)
+	}
 	if len(t.missing) > 0 {
 		e = e.Strs("missing_shards", t.missing)
 	}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
@@ -280,16 +281,27 @@
 		if q.running() {
 			a.Code, a.Reason = CodeSlow, "servers did not answer in time"
 		}
-		q.trace.missing = q.missing()
 	}
 	return a
 }
 
-// missing names the shards that are not in the answer.
+// missing names the shards that are not in the answer, each with the servers
+// that were sent the request.
 func (q *query) missing() []string {
 	var names []string
 	for _, n := range q.state.MissingShards() {
-		names = append(names, q.groups[n].service)
+		names = append(names, q.groups[n].service+": "+strings.Join(q.tried[n], " "))
 	}
 	return names
 }
+
+// finish notes for the log what the answer depended on.
+func (q *query) finish(a Answer) Answer {
+	q.trace.limit = q.end.Sub(q.request.Arrived)
+	if q.entry.Query == nil {
+		q.trace.servers = q.tried[0]
+	} else if a.Outcome != Gathered || a.Gathered.Missing > 0 {
+		q.trace.missing = q.missing()
+	}
+	return a
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -72,7 +72,7 @@
 	if !p.anyServer() {
 		return notRun(CodeNoServer, errNoServer.Error(), p.retryAfter())
 	}
-	return p.run(ctx)
+	return p.finish(p.run(ctx))
 }
 
 // plan says how a request is served: as a query over shards, or as one over the
