--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,13 +67,13 @@
 		kind = retryAttempt
 	}
 	g := q.groups[need.Shard]
-	c, err := g.pick(now, wish{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion, probeEvery: q.probeEvery()})
+	c, err := g.pick(now, pickOptions{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion, probeEvery: q.probeEvery()})
 	if err != nil {
 		q.postpone(need, err, now)
 		return attempt{}, false
 	}
 	if kind != firstAttempt && !q.takeBudget(g, kind, now) {
-		c.end(callUntold, 0, now)
+		c.end(callNoEvidence, 0, now)
 		countDenied(kind)
 		q.trace.denied++
 		q.state.Later(need.Shard, now.Add(deniedRetry))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -285,7 +285,7 @@
 	previous := c.view()
 	v := &view{
 		table: c.holder.Table(), tableSince: c.tableSince, hosts: byDomain(c.hosts), count: len(c.hosts),
-		farRegions: otherRegions(c.hosts, c.fleet.place.region),
+		farRegions: otherRegions(c.hosts, c.fleet.location.region),
 		storeLost:  c.storeLost, revision: c.revision,
 	}
 	v.ready = v.table != nil && c.registry.Loaded() && !c.stopping
@@ -300,8 +300,8 @@
 	c.changed = make(chan struct{})
 }
 
-// news is what a follower has not heard yet.
-type news struct {
+// updates is what a follower has not heard yet.
+type updates struct {
 	Reading
 	complete  bool
 	age       time.Duration
@@ -309,10 +309,10 @@
 	changed   <-chan struct{}
 }
 
-// newsSince returns what changed since a revision, or everything where that is
+// updatesSince returns what changed since a revision, or everything where that is
 // no longer known.
-func (c *control) newsSince(known uint64, now time.Time) news {
-	n := news{age: now.Sub(c.contact), storeLost: !c.storeLost.IsZero(), changed: c.changed}
+func (c *control) updatesSince(known uint64, now time.Time) updates {
+	n := updates{age: now.Sub(c.contact), storeLost: !c.storeLost.IsZero(), changed: c.changed}
 	n.Revision = c.revision
 	if c.revision <= known || !c.registry.Loaded() {
 		return n
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -63,21 +63,21 @@
 
 // fleet holds the groups of all services. It is safe for concurrent use.
 type fleet struct {
-	place  place
-	window time.Duration
-	mu     sync.RWMutex
-	groups map[string]*group
-	byID   map[string]*backend
+	location location
+	window   time.Duration
+	mu       sync.RWMutex
+	groups   map[string]*group
+	byID     map[string]*backend
 }
 
-// place says where a host stands.
-type place struct {
+// location says where a host stands.
+type location struct {
 	domain, region string
 	// regions maps failure domains to regions.
 	regions map[string]string
 }
 
-func (p place) distance(domain string) time.Duration {
+func (p location) distance(domain string) time.Duration {
 	switch {
 	case domain == p.domain:
 		return 0
@@ -87,8 +87,8 @@
 	return farDistance
 }
 
-func newFleet(p place, window time.Duration) *fleet {
-	return &fleet{place: p, window: window, groups: map[string]*group{}, byID: map[string]*backend{}}
+func newFleet(p location, window time.Duration) *fleet {
+	return &fleet{location: p, window: window, groups: map[string]*group{}, byID: map[string]*backend{}}
 }
 
 // group returns the group of a service, which may be empty.
@@ -133,7 +133,7 @@
 	f.byID = make(map[string]*backend, len(servers))
 	members := map[string][]*backend{}
 	for _, s := range servers {
-		b := adopt(previous[s.ID], s, f.place, conns(s), now)
+		b := adopt(previous[s.ID], s, f.location, conns(s), now)
 		f.byID[s.ID] = b
 		if s.Draining {
 			b.retire(f.groupLocked(s.Service))
@@ -155,7 +155,7 @@
 }
 
 // adopt returns the backend for a registration, keeping what was observed.
-func adopt(old *backend, s discovery.Server, p place, conns int, now time.Time) *backend {
+func adopt(old *backend, s discovery.Server, p location, conns int, now time.Time) *backend {
 	b := &backend{Server: s, region: p.regions[s.Domain]}
 	if old != nil {
 		b.leaf = old.leaf
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -86,7 +86,7 @@
 	for {
 		select {
 		case reply := <-received:
-			if err := g.takeNews(ctx, reply, &nextProbe); err != nil {
+			if err := g.takeUpdates(ctx, reply, &nextProbe); err != nil {
 				return err
 			}
 		case err := <-failed:
@@ -99,8 +99,8 @@
 	}
 }
 
-// takeNews takes in one message of the host that is followed.
-func (g *Gateway) takeNews(ctx context.Context, reply *relaypb.FollowReply, nextProbe *time.Time) error {
+// takeUpdates takes in one message of the host that is followed.
+func (g *Gateway) takeUpdates(ctx context.Context, reply *relaypb.FollowReply, nextProbe *time.Time) error {
 	now := time.Now()
 	age := time.Duration(reply.GetAgeUs()) * time.Microsecond
 	reading := Reading{Revision: reply.GetRevision(), Entries: decodeEntries(reply.GetEntries())}
@@ -141,8 +141,8 @@
 	ctx := stream.Context()
 	known := m.GetRevision()
 	for ctx.Err() == nil {
-		var n news
-		g.control.do(ctx, func() { n = g.control.newsSince(known, time.Now()) })
+		var n updates
+		g.control.do(ctx, func() { n = g.control.updatesSince(known, time.Now()) })
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 // New returns a gateway; Start must follow.
 func New(settings *settingspb.Gateway, edges Edges, log zerolog.Logger) *Gateway {
 	h := settings.GetHost()
-	p := place{domain: h.GetFailureDomain(), region: h.GetRegion(), regions: regions(h.GetRegions())}
+	p := location{domain: h.GetFailureDomain(), region: h.GetRegion(), regions: regions(h.GetRegions())}
 	f := newFleet(p, settings.GetRetry().GetWindow().AsDuration())
 	g := &Gateway{
 		name: h.GetName(), settings: settings, edges: edges, log: log, fleet: f,
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -13,8 +13,8 @@
 	started time.Time
 }
 
-// wish says what kind of slot a request wants.
-type wish struct {
+// pickOptions says what kind of slot a request wants.
+type pickOptions struct {
 	// tried are the servers that were sent the request. They are avoided; where
 	// no other is left, a request that is not a hedge may go there again.
 	tried []string
@@ -27,7 +27,7 @@
 }
 
 // pick takes a slot on the server that should get a request at now.
-func (g *group) pick(now time.Time, w wish) (*call, error) {
+func (g *group) pick(now time.Time, w pickOptions) (*call, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	exclude := g.mask(w.tried)
@@ -172,8 +172,8 @@
 	callMoved
 	// callCut: the call was given up before an answer came.
 	callCut
-	// callUntold: the call says nothing about the server.
-	callUntold
+	// callNoEvidence: the call says nothing about the server.
+	callNoEvidence
 )
 
 // first notes a first attempt at the service.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,11 +38,11 @@
 	elapsed := now.Sub(c.started)
 	out := result{server: c.backend.ID, elapsed: elapsed}
 	c.group.calls.Update(elapsed.Seconds())
-	told := judge(&out, reply, err, ctx.Err() != nil)
-	if c.end(told, elapsed, now) {
+	evidence := classify(&out, reply, err, ctx.Err() != nil)
+	if c.end(evidence, elapsed, now) {
 		g.log.Info().Str("server", c.backend.ID).Str("service", c.backend.Service).Str("reason", out.reason).Msg("server ejected after failures in a row")
 	}
-	if told == callMoved {
+	if evidence == callMoved {
 		g.log.Info().Str("server", c.backend.ID).Str("service", c.backend.Service).Msg("address belongs to another server: no more requests")
 		g.edges.Leafs.Forget(c.backend.Server)
 	}
@@ -53,9 +53,9 @@
 // request.
 var errUnsigned = errors.New("the server's success has no signature")
 
-// judge fills in what a reply or an error means, and returns what it tells
+// classify fills in what a reply or an error means, and returns what it tells
 // about the server.
-func judge(out *result, reply *Reply, err error, cut bool) callResult {
+func classify(out *result, reply *Reply, err error, cut bool) callResult {
 	if err == nil && reply.OK() && reply.Signature == "" {
 		err = errUnsigned
 	}
@@ -70,14 +70,14 @@
 		out.reply = reply
 		out.reason = http.StatusText(reply.Status)
 		if reply.Status < http.StatusInternalServerError {
-			return callUntold
+			return callNoEvidence
 		}
 		return callFailed
 	}
 	out.reason = err.Error()
 	var refused *NotRunError
 	if errors.As(err, &refused) {
-		return judgeNotRun(out, refused, cut)
+		return classifyNotRun(out, refused, cut)
 	}
 	out.outcome = relaypb.Outcome_FAILED
 	if cut {
@@ -86,7 +86,7 @@
 	return callFailed
 }
 
-func judgeNotRun(out *result, refused *NotRunError, cut bool) callResult {
+func classifyNotRun(out *result, refused *NotRunError, cut bool) callResult {
 	if refused.Arrived {
 		out.outcome = relaypb.Outcome_NOT_RUN
 		if refused.Moved {
@@ -96,7 +96,7 @@
 	}
 	out.outcome = relaypb.Outcome_NOT_SENT
 	if cut {
-		return callUntold
+		return callNoEvidence
 	}
 	return callFailed
 }
@@ -153,7 +153,7 @@
 	rc.done = make([]bool, len(rc.attempts))
 	g.peers.start(relay.address)
 	answered := false
-	silence := time.AfterFunc(rc.patience(request), func() { g.peers.suspect(relay.address, time.Now()) })
+	silence := time.AfterFunc(rc.silenceTimeout(request), func() { g.peers.suspect(relay.address, time.Now()) })
 	err := g.edges.Peers.Gather(ctx, relay.address, request, func(reply *relaypb.GatherReply) {
 		answered = true
 		silence.Stop()
@@ -169,8 +169,8 @@
 	rc.fail(err, ctx.Err() != nil, now)
 }
 
-// patience is for how long a relay may be silent before it is suspected.
-func (rc *relayCall) patience(request *relaypb.GatherRequest) time.Duration {
+// silenceTimeout is for how long a relay may be silent before it is suspected.
+func (rc *relayCall) silenceTimeout(request *relaypb.GatherRequest) time.Duration {
 	return time.Duration(request.GetSoftTimeoutUs())*time.Microsecond + time.Duration(hedgeCap*float64(rc.query.objective))
 }
 
@@ -199,17 +199,17 @@
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
 	}
-	told := callServed
+	evidence := callServed
 	switch r.GetOutcome() {
 	case relaypb.Outcome_NOT_RUN:
-		told = callShed
+		evidence = callShed
 	case relaypb.Outcome_FAILED:
-		told = callFailed
+		evidence = callFailed
 	case relaypb.Outcome_NOT_SENT:
-		told = callUntold
+		evidence = callNoEvidence
 	}
-	a.call.end(told, elapsed, now)
-	if told == callServed {
+	a.call.end(evidence, elapsed, now)
+	if evidence == callServed {
 		name := rc.query.entry.Name
 		rc.query.gateway.latency.observe(latencyKey{name, true}, elapsed)
 		rc.query.gateway.latency.observe(latencyKey{name, false}, time.Duration(r.GetElapsedUs())*time.Microsecond)
@@ -228,11 +228,11 @@
 		if rc.done[i] {
 			continue
 		}
-		told := callUntold
+		evidence := callNoEvidence
 		if cut {
-			told = callCut
+			evidence = callCut
 		}
-		a.call.end(told, now.Sub(a.call.started), now)
+		a.call.end(evidence, now.Sub(a.call.started), now)
 		out := result{shard: a.shard, outcome: relaypb.Outcome_FAILED, server: a.call.backend.ID, reason: "the relay ended the call without a result", elapsed: now.Sub(a.call.started)}
 		if err != nil {
 			out.reason = err.Error()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,7 +10,7 @@
 
 const (
 	// endMargin is kept between the last moment at which an answer is sent and
-	// the end of the caller's patience.
+	// the end of the caller's timeout.
 	endMargin = 20 * time.Millisecond
 	// offerShare is the share of the objective within which a request must
 	// have been offered to a server; otherwise it is refused, so that the
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -164,8 +164,8 @@
 
 // State implements the relay protocol.
 func (g *Gateway) State(ctx context.Context, request *relaypb.StateRequest) (*relaypb.StateReply, error) {
-	var n news
-	g.control.do(ctx, func() { n = g.control.newsSince(0, time.Now()) })
+	var n updates
+	g.control.do(ctx, func() { n = g.control.updatesSince(0, time.Now()) })
 	if n.Revision <= request.GetRevision() {
 		return &relaypb.StateReply{}, nil
 	}
