--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,68 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/api/settingspb"
+	"github.com/mallowgap/mallowgap/internal/settings"
+)
+
+func loadGateway(t *testing.T, text string) (*settingspb.Gateway, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "gateway.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	file := &settingspb.Gateway{}
+	return file, settings.LoadGateway(path, file)
+}
+
+// platformFields are settings as the users' platform fills them in.
+var platformFields = map[string]string{
+	"node": "front-a-1", "zone": "hall-a", "region": "palermo", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "limits.ram_mb": "284",
+	"listen.front": "10.1.0.9:8104", "listen.ready": "10.1.0.9:8108", "listen.control": "10.1.0.9:8106", "ip": "10.1.0.9", "port_range.0": "7380",
+	"platform.addr": "10.200.1.7:8102", "seed_addrs": "10.1.0.9:8106,10.2.0.21:8106",
+	"rule_params.retry_ratio": "0.2", "rule_params.retry_slack": "54", "rule_params.retry_window_s": "10",
+}
+
+// fill fills in the template of the deploy file.
+func fill(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/gateway.ini.tmpl")
+	assert.NilError(t, err)
+	zones := regexp.MustCompile(`\{\{#zones\}\}.*\{\{/zones\}\}`)
+	filled := zones.ReplaceAllString(string(text), "hall-a=palermo,hall-b=catania")
+	placeholder := regexp.MustCompile(`\{\{[a-z_.0-9]+\}\}`)
+	return placeholder.ReplaceAllStringFunc(filled, func(name string) string {
+		value, ok := platformFields[strings.Trim(name, "{}")]
+		assert.Check(t, ok, "%s is not a field of the platform's settings", name)
+		return value
+	})
+}
+
+func TestTemplateOfTheDeployFileIsValid(t *testing.T) {
+	file, err := loadGateway(t, fill(t))
+	assert.NilError(t, err)
+	assert.Equal(t, file.GetHost().GetName(), "front-a-1")
+	assert.Equal(t, file.GetListen().GetMetrics(), "10.1.0.9:7380")
+	assert.Equal(t, file.GetRetry().GetWindow().AsDuration(), 10*time.Second)
+	assert.Equal(t, file.GetShutdown().GetBalancerLag().AsDuration(), 3*time.Second)
+}
+
+func TestGatewayFaultsAreAllReported(t *testing.T) {
+	text := strings.Replace(fill(t), "callers = 10.1.0.9:8104", "callers = 10.1.0.9", 1)
+	_, err := loadGateway(t, strings.Replace(text, "ready = 10.1.0.9:8108", "ready = 10.1.0.9:8106", 1))
+	var all *settings.Error
+	assert.Assert(t, errors.As(err, &all), "%v", err)
+	assert.ErrorContains(t, err, `[listen] callers: "10.1.0.9" is not IP:port: write an address`)
+	assert.ErrorContains(t, err, "[listen] peers: is the same address as ready: choose another port")
+	_, err = loadGateway(t, fill(t)+"\n[query]\nanswer_share = 2\nhedges = 1\n")
+	assert.ErrorContains(t, err, "answer_share: 2 is too large")
+	assert.ErrorContains(t, err, "hedges: unknown key")
+}
