--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+)
+
+// counters are the metrics of a gateway that have no label.
+type counters struct {
+	storeRereads *metrics.Counter
+}
+
+func newCounters() *counters {
+	return &counters{
+		storeRereads: metrics.GetOrCreateCounter("mallowgap_store_rereads_total"),
+	}
+}
+
+func countAnswer(route string, a Answer) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_requests_total{route=%q,outcome=%q,cause=%q}", route, a.Outcome, a.Code)).Inc()
+}
+
+// forgetRoutes removes the metrics of routes that keep does not know, so that
+// their number stays bounded while routes come and go.
+func forgetRoutes(keep func(route string) bool) {
+	for _, name := range metrics.ListMetricNames() {
+		_, label, found := strings.Cut(name, "{route=\"")
+		route, _, _ := strings.Cut(label, "\"")
+		if found && route != "" && !keep(route) {
+			metrics.UnregisterMetric(name)
+		}
+	}
+}
+
+func observeDuration(route string, d time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf("mallowgap_request_duration_seconds{route=%q}", route)).Update(d.Seconds())
+}
+
+// callHistogram returns the histogram of the time of calls to the servers of a
+// service.
+func callHistogram(service string) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf("mallowgap_server_call_duration_seconds{service=%q}", service))
+}
+
+// attemptCounters are by kind of attempt and what became of it.
+var attemptCounters = newAttemptCounters()
+
+func newAttemptCounters() map[attemptKind]map[relaypb.Outcome]*metrics.Counter {
+	counters := map[attemptKind]map[relaypb.Outcome]*metrics.Counter{}
+	for _, kind := range []attemptKind{firstAttempt, retryAttempt, hedgeAttempt} {
+		counters[kind] = map[relaypb.Outcome]*metrics.Counter{}
+		for value, name := range relaypb.Outcome_name {
+			counters[kind][relaypb.Outcome(value)] = metrics.GetOrCreateCounter(
+				fmt.Sprintf("mallowgap_gateway_attempts_total{kind=%q,result=%q}", kind, strings.ToLower(name)))
+		}
+	}
+	return counters
+}
+
+func countAttempt(kind attemptKind, outcome relaypb.Outcome) { attemptCounters[kind][outcome].Inc() }
+
+func countDenied(kind attemptKind) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_gateway_attempts_denied_total{kind=%q}", kind)).Inc()
+}
+
+// attemptKind is why an attempt is made.
+type attemptKind string
+
+const (
+	firstAttempt attemptKind = "first"
+	retryAttempt attemptKind = "retry"
+	hedgeAttempt attemptKind = "hedge"
+)
