A suspected peer gets no request until it has answered a probe

Cause: a relay that did not answer was left alone for 0.5 s and more, then tried with a query again; with half of a domain's relays lost and one server a shard, 8 of 20 queries failed in two seconds. Found by TestHalfOfTheRelaysLostAtOnce. Ruled out: the choice by running calls (lost relays kept theirs and were avoided while these ran). Change: suspected peers are probed with a short call of the peer protocol; requests wait for its answer. Peers that left the store are forgotten.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,7 +32,7 @@
 		}
 	}
 	for domain, attempts := range relayed {
-		relay, ok := q.gateway.peers.choose(q.view.relays(domain, q.relayCount()), q.gateway.name, now)
+		relay, ok := q.gateway.peers.choose(q.view.relays(domain, q.relayCount()), q.gateway.name)
 		if !ok {
 			direct = append(direct, attempts...)
 			continue
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -39,7 +39,7 @@
 // the order of strength and name, of those that answer. A host follows only
 // hosts that come before it, so that no two follow each other, also while it
 // does not know its own entry.
-func (g *Gateway) leader(now time.Time) (host, bool) {
+func (g *Gateway) leader() (host, bool) {
 	if !g.loaded {
 		return host{}, false
 	}
@@ -47,7 +47,7 @@
 		if compareHosts(h, host{name: g.name, strength: g.self.GetStrength()}) >= 0 {
 			return host{}, false
 		}
-		if !g.peers.suspected(h.address, now) {
+		if !g.peers.suspected(h.address) {
 			return h, true
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 	go g.control.run(ctx)
 	g.duty(func() { g.followStore(ctx) })
 	g.duty(func() { g.followPeers(ctx) })
+	g.duty(func() { g.probePeers(ctx) })
 	g.duty(func() { g.announce(announceCtx) })
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -239,7 +239,7 @@
 		v := *g.control.view()
 		v.hosts = map[string][]host{"a1": {{name: "host2", address: "x", domain: "a1", region: "a", strength: 1}}}
 		g.control.current.Store(&v)
-		_, follows := g.leader(time.Now())
+		_, follows := g.leader()
 		assert.Assert(t, !follows)
 	})
 }
--- /dev/null
+++ b/internal/gateway/scale_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/discovery"
+)
+
+// hostsIn returns n hosts of one failure domain.
+func hostsIn(prefix string, n int, domain, region string) []hostSpec {
+	var hosts []hostSpec
+	for i := range n {
+		hosts = append(hosts, hostSpec{fmt.Sprint(prefix, i), domain, region})
+	}
+	return hosts
+}
+
+// askMany sends requests at the same moment and returns their answers with the
+// time that each took.
+func (w *world) askMany(n int, host, path string) (answers []Answer, took []time.Duration) {
+	answers, took = make([]Answer, n), make([]time.Duration, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		r := w.newRequest(path)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answers[i] = w.hosts[host].Serve(w.ctx, r)
+			took[i] = time.Since(r.Arrived)
+		}()
+	}
+	wg.Wait()
+	return answers, took
+}
+
+func TestHalfOfTheRelaysLostAtOnce(t *testing.T) {
+	hosts := append(hostsIn("b", 4, "b1", "b"), hostSpec{"host1", "a1", "a"})
+	inWorld(t, shardedConfig(1, 6), serversOf(shardNames(6), "b1"), hosts, func(w *world) {
+		w.peers.cutOff(w.hosts["b0"])
+		w.peers.cutOff(w.hosts["b1"])
+		failed := 0
+		for range 20 {
+			if a := w.ask("host1", "/q/x"); a.Outcome != Gathered {
+				failed++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, failed <= 4, "%d of 20 queries failed until the lost relays were avoided", failed)
+		assert.Equal(t, w.ask("host1", "/q/x").Gathered.Missing, 0)
+	})
+}
+
+func TestRegionCutOff(t *testing.T) {
+	inWorld(t, shardedConfig(1, 6), serversOf(shardNames(6), "b1", "c1"), threeRegions, func(w *world) {
+		w.peers.cutOff(w.hosts["host2"])
+		for _, shard := range shardNames(6) {
+			w.leafs.set(shard+"@b1", silent)
+		}
+		for range 20 {
+			a := w.ask("host1", "/q/x")
+			assert.Equal(t, a.Outcome, Gathered)
+			assert.Equal(t, a.Gathered.Missing, 0)
+		}
+	})
+}
+
+// A host that gets far more than its servers can take answers or refuses every
+// request in time, and serves as before once the flood is over.
+func TestFloodedHost(t *testing.T) {
+	servers := serversOf([]string{"single"}, "a1")
+	inWorld(t, shardedConfig(1, 1), servers, oneHost, func(w *world) {
+		answers, took := w.askMany(500, "host1", "/once/x")
+		served := 0
+		for i, a := range answers {
+			switch a.Outcome {
+			case Forwarded:
+				served++
+			case NotRun:
+				assert.Assert(t, took[i] <= 50*time.Millisecond, "refused after %v", took[i])
+				assert.Assert(t, a.RetryAfter > 0)
+			default:
+				t.Errorf("%v: %s", a.Outcome, a.Reason)
+			}
+		}
+		assert.Assert(t, served > 0)
+		assert.Equal(t, w.leafs.arrivals("single"), served, "nothing that was refused was sent")
+		assert.Equal(t, w.ask("host1", "/once/x").Outcome, Forwarded)
+	})
+}
+
+// The strongest host of a region reads the store for the others. Its loss under
+// load costs no answer, and servers that drain meanwhile get nothing new.
+func TestStrongestHostLost(t *testing.T) {
+	servers := serversOf([]string{"single"}, "a1", "a2")
+	inWorld(t, shardedConfig(1, 1), servers, oneRegion, func(w *world) {
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithCancel(w.ctx)
+		defer cancel()
+		w.hosts["host1"].edges.Store.(*partedStore).parted.Store(true)
+		w.peers.cutOff(w.hosts["host1"])
+		drained := discovery.Server{ID: servers[0].ID, Service: "single", Address: servers[0].Address, Domain: "a1", Slots: 2, Draining: true}
+		w.store.putServer(drained)
+		time.Sleep(3 * time.Second)
+		before := w.leafs.arrivals(drained.ID)
+		for range 10 {
+			assert.Equal(t, w.askCtx(ctx, "host4", "/one/x").Outcome, Forwarded)
+		}
+		assert.Equal(t, w.leafs.arrivals(drained.ID), before)
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -152,11 +152,10 @@
 func (g *Gateway) relayed(ctx context.Context, relay host, request *relaypb.GatherRequest, rc *relayCall) {
 	rc.done = make([]bool, len(rc.attempts))
 	g.peers.start(relay.address)
-	answered := false
 	silence := time.AfterFunc(rc.silenceTimeout(request), func() { g.peers.suspect(relay.address, time.Now()) })
 	err := g.edges.Peers.Gather(ctx, relay.address, request, func(reply *relaypb.GatherReply) {
-		answered = true
 		silence.Stop()
+		g.peers.answered(relay.address)
 		rc.take(reply)
 	})
 	silence.Stop()
@@ -165,7 +164,7 @@
 		g.peers.suspect(relay.address, now)
 		g.log.Debug().Err(err).Str("peer", relay.name).Msg("relay failed")
 	}
-	g.peers.end(relay.address, answered && err == nil, now)
+	g.peers.end(relay.address)
 	rc.fail(err, ctx.Err() != nil, now)
 }
 
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,8 @@
 	peerPoll = 700 * time.Millisecond
 	// peerTimeout bounds a question to a peer.
 	peerTimeout = 500 * time.Millisecond
+	// probeTick is the interval at which suspected peers are looked at.
+	probeTick = 250 * time.Millisecond
 	// renewals is how often a lease is renewed in its time.
 	renewals = 3
 )
@@ -35,7 +38,7 @@
 func (g *Gateway) followStore(ctx context.Context) {
 	wait := retryFirst
 	for ctx.Err() == nil {
-		if leader, ok := g.leader(time.Now()); ok {
+		if leader, ok := g.leader(); ok {
 			err := g.followLeader(ctx, leader)
 			if ctx.Err() != nil {
 				return
@@ -127,6 +130,29 @@
 	}
 }
 
+// probePeers asks suspected peers whether they are back until ctx ends.
+func (g *Gateway) probePeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, probeTick)
+		v := g.control.view()
+		for _, address := range g.peers.due(time.Now(), v.knows) {
+			go g.probePeer(ctx, address)
+		}
+	}
+}
+
+// probePeer asks for nothing newer than any revision: only the answer counts.
+func (g *Gateway) probePeer(ctx context.Context, address string) {
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if _, err := g.edges.Peers.State(callCtx, address, &relaypb.StateRequest{Revision: math.MaxUint64}); err != nil {
+		g.peers.suspect(address, time.Now())
+		return
+	}
+	g.peers.answered(address)
+	g.log.Info().Str("peer", address).Msg("peer answers again")
+}
+
 // anyPeer returns the address of a random peer, or of a seed.
 func (g *Gateway) anyPeer(v *view) string {
 	var addresses []string
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -80,6 +80,18 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// knows reports whether a host has an address.
+func (v *view) knows(address string) bool {
+	for _, group := range v.hosts {
+		for _, h := range group {
+			if h.address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // byDomain groups hosts by their failure domain, the strongest first.
 func byDomain(hosts map[string]host) map[string][]host {
 	groups := map[string][]host{}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -99,11 +99,15 @@
 }
 
 func (w *world) askCtx(ctx context.Context, host, path string) Answer {
+	return w.hosts[host].Serve(ctx, w.newRequest(path))
+}
+
+func (w *world) newRequest(path string) *Request {
 	w.nextID++
-	return w.hosts[host].Serve(ctx, &Request{
+	return &Request{
 		ID: fmt.Sprint("r", w.nextID), Method: http.MethodGet, Host: "desk.example", Path: path, Target: path,
 		Header: http.Header{}, Arrived: time.Now(), Timeout: time.Second,
-	})
+	}
 }
 
 // shardedConfig is a configuration with one query over n shards at /q/, and
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -64,5 +64,6 @@
 TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go@s/ && c.reader.Buffered\(\) == 0//; s/ && quiet\(c.Conn\)//@a connection with bytes of nobody is used again
 TestEarlyAnswerToALongBodyEndsTheConnection@internal/httppool/pool.go@s/return response, false, err\n\t\}\n\}/return response, true, err\n\t}\n}/@the rest of a body meets another request
 TestHostStartsSoonWhereTheStoreIsSilent@internal/gateway/sync.go@s/if v.storeLost.IsZero\(\) && v.revision > 0 \{/if v.storeLost.IsZero() {/@a starting host waits for a silent store
+TestHalfOfTheRelaysLostAtOnce@internal/gateway/peerhealth.go@s/if _, suspected := p.probeAt\[h.address\]; suspected \|\|/if time.Now().Before(p.probeAt[h.address]) ||/@requests are sent to try a lost peer
 LIST
 exit $survived
