State copies its entries only for who lacks them; dead parameters

Cause, found by reading the change once more: a peer's question for newer state, and each probe of a suspected peer, had all entries copied on the control goroutine before the revision was compared. control.name and a parameter of softTimeout were never read; a comment said that do publishes, which it does not. Change: the revision is compared first. Replies are the same.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -26,7 +26,6 @@
 // control owns the control state. Only its goroutine touches the fields below
 // actions.
 type control struct {
-	name    string
 	decode  decoder
 	fleet   *fleet
 	relays  int
@@ -72,9 +71,9 @@
 	DecodeServer(id string, value []byte) (discovery.Server, error)
 }
 
-func newControl(name string, decode decoder, f *fleet, relays int, log zerolog.Logger) *control {
+func newControl(decode decoder, f *fleet, relays int, log zerolog.Logger) *control {
 	c := &control{
-		name: name, decode: decode, fleet: f, relays: relays, log: log,
+		decode: decode, fleet: f, relays: relays, log: log,
 		actions:  make(chan func()),
 		registry: discovery.NewRegistry(), hosts: map[string]host{}, lapsed: map[string]bool{}, entries: map[entryKey]Entry{},
 		changed: make(chan struct{}),
@@ -86,7 +85,7 @@
 // view returns the published state.
 func (c *control) view() *view { return c.current.Load() }
 
-// do runs an action on the control goroutine, publishes, and waits for it.
+// do runs an action on the control goroutine and waits for it.
 func (c *control) do(ctx context.Context, action func()) {
 	done := make(chan struct{})
 	select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 		peers:    newPeerHealth(),
 		started:  time.Now(),
 	}
-	g.control = newControl(g.name, edges.Store, f, int(settings.GetRelay().GetHostsPerDomain()), log)
+	g.control = newControl(edges.Store, f, int(settings.GetRelay().GetHostsPerDomain()), log)
 	g.control.onGone = func(s discovery.Server) { go edges.Leafs.Forget(s) }
 	g.control.onTable = func(t *route.Table) {
 		g.latency.forgetOthers(t.HasRoute)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -116,7 +116,7 @@
 	m := &relaypb.GatherRequest{
 		RequestId: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body,
 		TimeoutUs:     uint64(max(q.end.Sub(now), 0).Microseconds()),
-		SoftTimeoutUs: uint64(q.softTimeout(now).Microseconds()),
+		SoftTimeoutUs: uint64(q.softTimeout().Microseconds()),
 		Top:           uint32(q.entry.Query.Top),
 		Floor:         q.state.Floor(),
 	}
@@ -134,7 +134,7 @@
 // softTimeout is for how long a relay gathers before it sends what it has: long
 // enough for most calls, so that they are merged, and short enough for a hedge
 // and for the answer.
-func (q *query) softTimeout(now time.Time) time.Duration {
+func (q *query) softTimeout() time.Duration {
 	return q.gateway.latency.delay(latencyKey{q.entry.Name, false}, time.Duration(softCap*float64(q.objective)))
 }
 
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -191,10 +191,11 @@
 // State implements the relay protocol.
 func (g *Gateway) State(ctx context.Context, request *relaypb.StateRequest) (*relaypb.StateReply, error) {
 	var n updates
-	g.control.do(ctx, func() { n = g.control.updatesSince(0, time.Now()) })
-	if n.Revision <= request.GetRevision() {
-		return &relaypb.StateReply{}, nil
-	}
+	g.control.do(ctx, func() {
+		if g.control.revision > request.GetRevision() {
+			n = g.control.updatesSince(0, time.Now())
+		}
+	})
 	return &relaypb.StateReply{Revision: n.Revision, Entries: encodeEntries(n.Entries)}, nil
 }
 
