Probes of a slow server are shared by the whole fleet

Cause: every host probes an avoided server once a second. With 60 hosts a host gets fewer than one query a second, so that every query had a part from every slow server near it: the choice of servers did nothing on large fleets.

Ruled out: capacity (servers of the grown sites are used to a tenth), the retry budget (a host may hedge two queries of five), a slow start of the fleet (the windows before the fault are whole).

Change: with more than six hosts, each probes the more rarely.

Small sites are not touched.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,12 +89,14 @@
 }
 
 // probeEvery is how often a server that is slow or failed gets a request like
-// this one: rarely where the caller pays for it with its time.
+// this one from here: rarely where the caller pays for it with its time, and
+// the more rarely the more hosts probe it.
 func (q *query) probeEvery() time.Duration {
+	every := singleProbeEvery
 	if q.entry.Query != nil {
-		return replica.ProbeEvery
+		every = replica.ProbeEvery
 	}
-	return singleProbeEvery
+	return every * time.Duration(max(1, q.view.count/probingHosts))
 }
 
 func (q *query) takeBudget(g *group, kind attemptKind, now time.Time) bool {
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -30,6 +30,10 @@
 	// that is not a query. Nothing covers such a request: with a few hosts and
 	// one second, a quarter of the requests went to slow servers.
 	singleProbeEvery = 8 * time.Second
+	// probingHosts is the number of hosts that may each probe at the full rate:
+	// about those of a small site. More hosts share that rate, because each has
+	// fewer queries: at 60 hosts every query went to a slow server.
+	probingHosts = 6
 	// lingerTime is for how long calls whose answer came too late may still
 	// run, so that their connections can be used again.
 	lingerTime = 250 * time.Millisecond
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 )
 
@@ -114,3 +116,35 @@
 		assert.Equal(t, w.leafs.arrivals(drained.ID), before)
 	})
 }
+
+// putHosts registers n more hosts of a domain that are known only by their
+// entries.
+func (w *world) putHosts(n int, domain, region string) {
+	for i := range n {
+		name := fmt.Sprint(domain, "-other", i)
+		value, err := proto.Marshal(&relaypb.Host{Name: name, Address: "192.0.2.1:1", Domain: domain, Region: region})
+		assert.NilError(w.t, err)
+		w.store.apply(Entry{Kind: relaypb.EntryKind_HOST, Name: name, Value: value})
+	}
+	time.Sleep(time.Second)
+}
+
+// Each host of a large fleet once probed a slow server every second: with fewer
+// than one query a second and host, every query had a part from a slow server.
+func TestSlowServerIsProbedByTheWholeFleetTogether(t *testing.T) {
+	inWorld(t, shardedConfig(1, 4), serversOf(shardNames(4), "a1", "a2"), oneHost, func(w *world) {
+		w.putHosts(59, "c1", "c")
+		w.leafs.set("shard0@a1", serve("shard0@a1", 150*time.Millisecond))
+		for range 10 {
+			w.ask("host1", "/q/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		learned := w.leafs.arrivals("shard0@a1")
+		for range 20 {
+			w.ask("host1", "/q/x")
+			time.Sleep(1500 * time.Millisecond)
+		}
+		probes := w.leafs.arrivals("shard0@a1") - learned
+		assert.Assert(t, probes >= 1 && probes <= 4, "%d probes in 30 s", probes)
+	})
+}
