Hosts learn from relays which servers are slow; dark servers count

Cause: each host judges a server by its own calls alone. A host of a large fleet has a query every 1.5 s, so that it finds out about each slow or silent server late, and again about its recovery; the relays of the server's failure domain call it ten times a second. Beside that, an attempt at a connection that was given up said nothing about the server, and a server that never answered stayed "unknown", which looks best: a dark server was chosen again and again.

Ruled out: telling it through the store (writes), more probes (each costs a query a part).

Attempts cut short count from the first.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	requests *requestLog
 	latency  *latencies
 	peers    *peerHealth
+	reports  *reports
 
 	// loaded and followed belong to the goroutine that follows the store.
 	loaded   bool
@@ -65,6 +66,7 @@
 		requests: newRequestLog(log, int(settings.GetLog().GetRequestsPerSecond())),
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		peers:    newPeerHealth(),
+		reports:  newReports(f),
 		started:  time.Now(),
 	}
 	g.control = newControl(edges.Store, f, int(settings.GetRelay().GetHostsPerDomain()), log)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -389,3 +389,22 @@
 		assert.Equal(t, len(g.latency.delays), 0)
 	})
 }
+
+// dark takes no connection: the attempt at one hangs until it is given up.
+func dark(ctx context.Context, _ *Request) (*Reply, error) {
+	<-ctx.Done()
+	return nil, &NotRunError{Reason: "the server cannot be reached", Err: ctx.Err()}
+}
+
+// An attempt at a connection that was given up once said nothing about the
+// server: one that had gone dark was chosen again and again.
+func TestDarkServerIsAvoided(t *testing.T) {
+	inWorld(t, shardedConfig(1, 4), serversOf(shardNames(4), "a1", "a2"), oneHost, func(w *world) {
+		w.leafs.set("shard0@a1", dark)
+		for range 40 {
+			w.ask("host1", "/q/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, w.leafs.arrivals("shard0@a1") <= 10, "%d of 40", w.leafs.arrivals("shard0@a1"))
+	})
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -142,7 +142,7 @@
 	case callShed:
 		g.set.Refused(i, now)
 	case callCut:
-		g.set.CutShort(i, elapsed)
+		g.set.CutShort(i, elapsed, now)
 	case callFailed:
 		return g.set.Failed(i, now)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,14 +47,22 @@
 			if len(gathered.results) == 0 || gathered.open == 0 {
 				continue
 			}
-			if err := stream.Send(gathered.flush(false)); err != nil {
+			if err := stream.Send(g.withReport(gathered.flush(false))); err != nil {
 				return err
 			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
-	return stream.Send(gathered.flush(true))
+	return stream.Send(g.withReport(gathered.flush(true)))
+}
+
+// withReport adds to a reply what is known of the servers near this host.
+func (g *Gateway) withReport(reply *relaypb.GatherReply) *relaypb.GatherReply {
+	now := time.Now()
+	reply.Slow = g.reports.report(g.control.view().table, now)
+	reply.Vouches = now.Sub(g.started) >= vouchAfter
+	return reply
 }
 
 type indexed struct {
--- /dev/null
+++ b/internal/gateway/reports.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/replica"
+	"github.com/mallowgap/mallowgap/route"
+)
+
+const (
+	// reportEvery is how often the servers to report are worked out anew.
+	reportEvery = 100 * time.Millisecond
+	// reportAfter is for how long a server must have been slow before it is
+	// reported: longer than the pauses that every server makes now and then.
+	reportAfter = 800 * time.Millisecond
+	// vouchAfter is the age of a process from which its calls tell which
+	// servers are sound.
+	vouchAfter = 2 * time.Second
+	// maxReported bounds the servers of one report.
+	maxReported = 100
+)
+
+// reports works out which servers of the own failure domain are slow, for the
+// hosts that call them through this one: it calls each of them more often than
+// they do.
+type reports struct {
+	fleet *fleet
+	mu    sync.Mutex
+	// madeAt is when the report was last worked out.
+	madeAt time.Time
+	// since tells from when on a server was slow without a break.
+	since map[string]time.Time
+	slow  []*relaypb.SlowServer
+}
+
+func newReports(f *fleet) *reports {
+	return &reports{fleet: f, since: map[string]time.Time{}}
+}
+
+// report returns the servers that have been slow for a while.
+func (r *reports) report(table *route.Table, now time.Time) []*relaypb.SlowServer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.madeAt) < reportEvery || table == nil {
+		return r.slow
+	}
+	r.madeAt = now
+	r.slow = nil
+	since := map[string]time.Time{}
+	for _, shards := range table.ShardSets() {
+		r.addSlow(shards, since, now)
+	}
+	r.since = since
+	return r.slow
+}
+
+// addSlow adds the slow servers of one set of shards, which do the same kind of
+// work.
+func (r *reports) addSlow(shards []string, since map[string]time.Time, now time.Time) {
+	ids, observed := r.fleet.observations(shards)
+	for _, i := range replica.Slow(observed, now) {
+		id := ids[i]
+		from, ok := r.since[id]
+		if !ok {
+			from = now
+		}
+		since[id] = from
+		if now.Sub(from) >= reportAfter && len(r.slow) < maxReported {
+			r.slow = append(r.slow, &relaypb.SlowServer{Id: id, ExpectedMs: uint32(observed[i].Latency.Milliseconds())})
+		}
+	}
+}
+
+// observations returns what was observed of the servers of services in the own
+// failure domain.
+func (f *fleet) observations(services []string) (ids []string, observed []replica.Observation) {
+	for _, service := range services {
+		g := f.group(service)
+		g.mu.Lock()
+		for _, b := range g.members {
+			if b.Domain == f.location.domain {
+				ids = append(ids, b.ID)
+				observed = append(observed, b.leaf.Observation())
+			}
+		}
+		g.mu.Unlock()
+	}
+	return ids, observed
+}
+
+// takeReport takes in what a host of a failure domain says of the servers
+// there: slow is true of all, and where the host vouches, the others of these
+// shards are sound. It returns the servers that were not known to be slow.
+func (f *fleet) takeReport(domain string, shards []string, slow []*relaypb.SlowServer, vouches bool, now time.Time) []string {
+	var news []string
+	named := make(map[string]bool, len(slow))
+	for _, s := range slow {
+		named[s.GetId()] = true
+		b := f.server(s.GetId())
+		if b != nil && f.group(b.Service).reported(b, time.Duration(s.GetExpectedMs())*time.Millisecond, now) {
+			news = append(news, b.ID)
+		}
+	}
+	if !vouches {
+		return news
+	}
+	for _, service := range shards {
+		f.group(service).vouch(domain, named, now)
+	}
+	return news
+}
+
+// reported takes in that a server is slow, and returns whether that is news.
+func (g *group) reported(b *backend, latency time.Duration, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, member := range g.members {
+		if member.leaf == b.leaf {
+			return g.set.Reported(i, latency, now)
+		}
+	}
+	return false
+}
+
+// vouch takes in that the servers of a domain are sound but for those named.
+func (g *group) vouch(domain string, slow map[string]bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, b := range g.members {
+		if b.Domain == domain && !slow[b.ID] {
+			g.set.Reported(i, 0, now)
+		}
+	}
+}
+
+// takeReport takes in the report that came with a reply of a relay.
+func (rc *relayCall) takeReport(reply *relaypb.GatherReply, now time.Time) {
+	g := rc.query.gateway
+	news := g.fleet.takeReport(rc.relay.domain, rc.query.entry.Query.Shards, reply.GetSlow(), reply.GetVouches(), now)
+	if len(news) > 0 {
+		g.log.Info().Str("request", rc.query.request.ID).Str("peer", rc.relay.name).Strs("servers", news).Msg("servers are slow, as a peer near them reports")
+	}
+}
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/bits"
 	"sync"
 	"testing"
 	"time"
@@ -148,3 +149,66 @@
 		assert.Assert(t, probes >= 1 && probes <= 4, "%d probes in 30 s", probes)
 	})
 }
+
+// Each host once learned by itself which servers were slow: with many hosts and
+// few queries on each, that took as long as some troubles last.
+func TestHostsLearnOfSlowServersFromTheRelay(t *testing.T) {
+	hosts := append(hostsIn("a", 2, "a1", "a"), hostSpec{"relay", "b1", "b"})
+	config := shardedConfig(1, 6)
+	others := *config.Routes[0].Query
+	others.Shards = others.Shards[1:]
+	config.Routes = append(config.Routes, config.Routes[0])
+	config.Routes[3].Name, config.Routes[3].Prefix, config.Routes[3].Query = "others", "/others/", &others
+	inWorld(t, config, serversOf(shardNames(6), "b1", "c1"), hosts, func(w *world) {
+		time.Sleep(vouchAfter)
+		w.leafs.set("shard0@b1", serve("shard0@b1", 150*time.Millisecond))
+		for range 30 {
+			w.ask("a0", "/q/x")
+			w.ask("relay", "/q/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range 10 {
+			w.ask("a1", "/others/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, w.hosts["a1"].fleet.expected("shard0", "b1") > 100*time.Millisecond, "a1 never called it")
+		before := w.leafs.arrivals("shard0@b1")
+		for range 3 {
+			w.ask("a1", "/q/x")
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Assert(t, w.leafs.arrivals("shard0@b1") <= before+1, "only a probe: %d", w.leafs.arrivals("shard0@b1")-before)
+
+		w.leafs.set("shard0@b1", nil)
+		for range 30 {
+			w.ask("relay", "/q/x")
+			time.Sleep(time.Second)
+		}
+		for range 5 {
+			w.ask("a1", "/q/x")
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, w.hosts["a1"].fleet.avoided("shard0"), 0, "the server is as fast as before")
+	})
+}
+
+// expected returns the latency to expect of the server of a service in a domain.
+func (f *fleet) expected(service, domain string) time.Duration {
+	g := f.group(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, b := range g.members {
+		if b.Domain == domain {
+			return g.set.Expected(i, time.Now())
+		}
+	}
+	return 0
+}
+
+// avoided returns how many servers of a service are avoided now.
+func (f *fleet) avoided(service string) int {
+	g := f.group(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return bits.OnesCount64(g.set.AvoidedMask(time.Now()))
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -96,7 +96,7 @@
 	}
 	out.outcome = relaypb.Outcome_NOT_SENT
 	if cut {
-		return callNoEvidence
+		return callCut
 	}
 	return callFailed
 }
@@ -108,7 +108,7 @@
 		q.sent(a, now, true)
 	}
 	q.trace.relayed += len(attempts)
-	go q.gateway.relayed(ctx, relay, request, &relayCall{query: q, attempts: attempts, open: len(attempts), floor: request.GetFloor()})
+	go q.gateway.relayed(ctx, request, &relayCall{query: q, relay: relay, attempts: attempts, open: len(attempts), floor: request.GetFloor()})
 }
 
 func (q *query) relayRequest(attempts []attempt, now time.Time) *relaypb.GatherRequest {
@@ -142,6 +142,7 @@
 // the call.
 type relayCall struct {
 	query    *query
+	relay    host
 	attempts []attempt
 	done     []bool
 	open     int
@@ -149,7 +150,8 @@
 }
 
 // relayed makes the call and reports what it brings.
-func (g *Gateway) relayed(ctx context.Context, relay host, request *relaypb.GatherRequest, rc *relayCall) {
+func (g *Gateway) relayed(ctx context.Context, request *relaypb.GatherRequest, rc *relayCall) {
+	relay := rc.relay
 	rc.done = make([]bool, len(rc.attempts))
 	g.peers.start(relay.address)
 	silence := time.AfterFunc(rc.silenceTimeout(request), func() { g.peers.suspect(relay.address, time.Now()) })
@@ -175,6 +177,7 @@
 
 func (rc *relayCall) take(reply *relaypb.GatherReply) {
 	now := time.Now()
+	rc.takeReport(reply, now)
 	e := event{records: reply.GetRecords(), floor: rc.floor}
 	for _, r := range reply.GetResults() {
 		i := int(r.GetIndex())
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -275,7 +275,7 @@
 func (p *fakePeers) Gather(ctx context.Context, address string, m *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error {
 	g, cut := p.find(address)
 	p.gathers.Add(1)
-	if cut {
+	if g == nil || cut {
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -136,7 +136,7 @@
 	report := s.observe(a.address, reply.GetStatus(), now)
 	switch {
 	case cut:
-		set.CutShort(a.leaf, now.Sub(a.start))
+		set.CutShort(a.leaf, now.Sub(a.start), now)
 	case err != nil:
 		set.Failed(a.leaf, now)
 	case reply.GetRefusal() != nil:
--- a/replica/set.go
+++ b/replica/set.go
@@ -67,6 +67,12 @@
 	ejections    int
 	ejectedUntil time.Time
 	probed       time.Time
+	// answered is when the leaf last answered, observed when anything was last
+	// observed of it.
+	answered, observed time.Time
+	// reported is what another host says of the latency, until reportedUntil.
+	reported      time.Duration
+	reportedUntil time.Time
 }
 
 // Set holds the replicas of one shard. It is not safe for concurrent use.
@@ -197,7 +203,7 @@
 	if now.Before(leaf.ejectedUntil) {
 		return true
 	}
-	own := leaf.estimate()
+	own := leaf.believed(now)
 	if own <= slowFloor {
 		return false
 	}
@@ -235,9 +241,9 @@
 func (s *Set) Expected(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	if leaf.Slots.InUse() == 0 {
-		return leaf.estimate()
+		return leaf.believed(now)
 	}
-	return max(leaf.estimate(), now.Sub(leaf.progress))
+	return max(leaf.believed(now), now.Sub(leaf.progress))
 }
 
 // estimate is the smoothed latency, times one more for each request cut short
@@ -246,6 +252,14 @@
 	return l.latency * time.Duration(1+l.cuts)
 }
 
+// believed is the greater of the estimate and what another host reported.
+func (l *Leaf) believed(now time.Time) time.Duration {
+	if now.Before(l.reportedUntil) {
+		return max(l.estimate(), l.reported)
+	}
+	return l.estimate()
+}
+
 func (s *Set) cost(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	parallel := max(leaf.Parallel, 1)
@@ -266,6 +280,8 @@
 func (s *Set) Answered(i int, latency time.Duration, now time.Time) {
 	leaf := s.Leaves[i]
 	leaf.progress = now
+	leaf.answered = now
+	leaf.observed = now
 	leaf.failures = 0
 	leaf.cuts = 0
 	leaf.refused -= smoothing * leaf.refused
@@ -285,10 +301,11 @@
 // CutShort notes a request that was given up after elapsed without a reply. The
 // reply might have taken any longer time, so a few of these in a row, as from a
 // silent replica whose requests are always answered elsewhere, make it slow.
-func (s *Set) CutShort(i int, elapsed time.Duration) {
+func (s *Set) CutShort(i int, elapsed time.Duration, now time.Time) {
 	leaf := s.Leaves[i]
+	leaf.observed = now
 	leaf.cuts = min(leaf.cuts+1, maxCuts)
-	if elapsed > leaf.latency && leaf.latency > 0 {
+	if elapsed > leaf.latency {
 		s.sample(leaf, elapsed)
 	}
 }
@@ -306,6 +323,7 @@
 func (s *Set) Failed(i int, now time.Time) bool {
 	leaf := s.Leaves[i]
 	leaf.progress = now
+	leaf.observed = now
 	leaf.failures++
 	if leaf.failures < ejectAfter || !s.mayEject(i, now) {
 		return false
--- a/replica/set_test.go
+++ b/replica/set_test.go
@@ -52,10 +52,10 @@
 	later := start.Add(200 * time.Millisecond)
 	assert.Equal(t, s.Pick(later, 0, 0), 1)
 	s.Leaves[0].Slots.Release()
-	s.CutShort(0, 200*time.Millisecond)
+	s.CutShort(0, 200*time.Millisecond, start)
 	assert.Assert(t, s.Latency(0) > s.Latency(1))
 	before := s.Latency(0)
-	s.CutShort(0, time.Microsecond)
+	s.CutShort(0, time.Microsecond, start)
 	assert.Equal(t, s.Latency(0), before, "a short cut says nothing")
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -14,6 +14,7 @@
 	byHost   map[string][]*Entry
 	services map[string]Service
 	shards   map[string]bool
+	sets     [][]string
 	names    map[string]bool
 }
 
@@ -46,11 +47,17 @@
 	if q == nil {
 		return
 	}
+	if !slices.ContainsFunc(t.sets, func(set []string) bool { return slices.Equal(set, q.Shards) }) {
+		t.sets = append(t.sets, q.Shards)
+	}
 	for _, shard := range q.Shards {
 		t.shards[shard] = true
 	}
 }
 
+// ShardSets returns the different sets of shards of the queries.
+func (t *Table) ShardSets() [][]string { return t.sets }
+
 // IsShard reports whether a service is a shard of some query.
 func (t *Table) IsShard(service string) bool { return t.shards[service] }
 
