Later replies of a relay leave out records that cannot count

Cause: a relay sends what it has after its soft timeout and the rest later. Each reply held up to the full number of greatest records of its own parts, although those that were sent before already outdo most of the later ones.

Ruled out: requests (206 bytes each), hedges (a tenth of the bytes). Not tried: asking for fewer records than the answer needs; a block that proves unsound would have to be asked for again.

Change: fanout.Trimmer keeps the greatest records sent so far and states the floor in the reply; the blocks' soundness check takes it as before.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -34,7 +34,7 @@
 	started := time.Now()
 	var all []*relaypb.CallResult
 	defer func() { g.logGather(m, all, time.Since(started)) }()
-	gathered := &gathering{top: int(m.GetTop()), floor: m.GetFloor(), open: len(m.GetServerIds())}
+	gathered := &gathering{trimmer: fanout.NewTrimmer(int(m.GetTop()), m.GetFloor()), open: len(m.GetServerIds())}
 	wait := time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond
 	soft := time.NewTimer(wait)
 	defer soft.Stop()
@@ -72,8 +72,7 @@
 
 // gathering merges results until they are sent.
 type gathering struct {
-	top     int
-	floor   []byte
+	trimmer *fanout.Trimmer
 	open    int
 	results []*relaypb.CallResult
 	parts   [][]byte
@@ -88,14 +87,15 @@
 	}
 	w.results = append(w.results, result)
 	if r.outcome == relaypb.Outcome_PART {
-		w.parts = append(w.parts, fanout.AtLeast(w.floor, r.reply.Body))
+		w.parts = append(w.parts, r.reply.Body)
 	}
 	return result
 }
 
 // flush returns what was gathered since the last flush.
 func (w *gathering) flush(last bool) *relaypb.GatherReply {
-	reply := &relaypb.GatherReply{Results: w.results, Records: fanout.Top(w.top, w.parts...), Last: last}
+	records, floor := w.trimmer.Batch(w.parts...)
+	reply := &relaypb.GatherReply{Results: w.results, Records: records, Floor: floor, Last: last}
 	w.results = nil
 	w.parts = nil
 	return reply
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -178,7 +178,10 @@
 func (rc *relayCall) take(reply *relaypb.GatherReply) {
 	now := time.Now()
 	rc.takeReport(reply, now)
-	e := event{records: reply.GetRecords(), floor: rc.floor}
+	e := event{records: reply.GetRecords(), floor: reply.GetFloor()}
+	if len(e.floor) == 0 {
+		e.floor = rc.floor // A relay of the version before does not repeat it.
+	}
 	for _, r := range reply.GetResults() {
 		i := int(r.GetIndex())
 		if i >= len(rc.attempts) || rc.done[i] {
