A request waits a moment for the start of its host; limits on headers

Cause 1: a host that starts listens 15 to 190 ms before it knows the configuration, and refused every request until then. Now such a request waits up to 150 ms.

The time limit on headers stays the settings' ([listen] header_timeout): http.Server has one for all connections, and tells no one when a header begins.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -20,6 +20,8 @@
 	Malformed
 	// TooLarge: the body is larger than the configuration allows.
 	TooLarge
+	// HeaderTooLarge: the header is larger than the configuration allows.
+	HeaderTooLarge
 	// NotRun: the request has not run and never will.
 	NotRun
 	// Failed: servers failed; the request may have run.
@@ -32,7 +34,7 @@
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"forwarded", "gathered", "no_route", "malformed", "too_large", "not_run", "failed", "timed_out", "caller_left"}[o]
+	return [...]string{"forwarded", "gathered", "no_route", "malformed", "too_large", "header_too_large", "not_run", "failed", "timed_out", "caller_left"}[o]
 }
 
 // Code is the cause of an answer other than a whole success, for metrics and
@@ -48,6 +50,8 @@
 	CodeNoID Code = "no_identifier"
 	// CodeBodySize: the body is larger than allowed.
 	CodeBodySize Code = "body_size"
+	// CodeHeaderSize: the header is larger than allowed.
+	CodeHeaderSize Code = "header_size"
 	// CodeNoRoute: no route serves the request.
 	CodeNoRoute Code = "no_route"
 	// CodeNoTime: the caller's time was over before an attempt was made.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -59,6 +59,9 @@
 	stopping bool
 	// changed is closed when there is something new to tell followers.
 	changed chan struct{}
+	// started is closed once the configuration and the servers are known. Any
+	// goroutine may wait for it.
+	started chan struct{}
 }
 
 type entryKey struct {
@@ -76,7 +79,7 @@
 		decode: decode, fleet: f, relays: relays, log: log,
 		actions:  make(chan func()),
 		registry: discovery.NewRegistry(), hosts: map[string]host{}, lapsed: map[string]bool{}, entries: map[entryKey]Entry{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), started: make(chan struct{}),
 	}
 	c.current.Store(&view{hosts: map[string][]host{}})
 	return c
@@ -287,7 +290,8 @@
 		farRegions: otherRegions(c.hosts, c.fleet.location.region),
 		storeLost:  c.storeLost, revision: c.revision,
 	}
-	v.ready = v.table != nil && c.registry.Loaded() && !c.stopping
+	v.known = v.table != nil && c.registry.Loaded()
+	v.ready = v.known && !c.stopping
 	if v.ready != previous.ready {
 		c.log.Info().Bool("ready", v.ready).Bool("stopping", c.stopping).Msg("readiness changed")
 	}
@@ -295,6 +299,9 @@
 	c.fleet.update(c.registry.Servers(), conns, now)
 	c.fleet.setShares(conns)
 	c.current.Store(v)
+	if v.known && !previous.known {
+		close(c.started)
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -25,7 +25,9 @@
 	Target string
 	// Header holds the end-to-end headers.
 	Header http.Header
-	Body   []byte
+	// HeaderBytes is the size of the header as the caller sent it.
+	HeaderBytes int
+	Body        []byte
 	// Arrived is when the request was read.
 	Arrived time.Time
 	// Timeout is for how long the caller waits; 0 is unknown.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/route"
 )
 
 var oneHost = []hostSpec{{"host1", "a1", "a"}}
@@ -301,7 +302,7 @@
 		late.Store.Seeds = w.hosts["host2"].self.GetAddress()
 		silent := &partedStore{fakeStore: w.store}
 		silent.parted.Store(true)
-		g := w.startWith(late, silent)
+		g := w.startOn(late, silent)
 		time.Sleep(500 * time.Millisecond)
 		assert.Assert(t, g.Ready())
 	})
@@ -408,3 +409,44 @@
 		assert.Assert(t, w.leafs.arrivals("shard0@a1") <= 10, "%d of 40", w.leafs.arrivals("shard0@a1"))
 	})
 }
+
+// slowStore answers a reading late.
+type slowStore struct {
+	*fakeStore
+	delay time.Duration
+}
+
+func (s slowStore) Read(ctx context.Context) (Reading, error) {
+	time.Sleep(s.delay)
+	return s.fakeStore.Read(ctx)
+}
+
+// A host that had just started once refused every request until it knew the
+// configuration, a moment later; callers came back to other hosts that started.
+func TestRequestWaitsForTheStartOfItsHost(t *testing.T) {
+	late := settingsOf(t, hostSpec{"late9", "a1", "a"})
+	inWorld(t, shardedConfig(3, 1), serversOf([]string{"single"}, "a1"), oneHost, func(w *world) {
+		w.startOn(late, slowStore{w.store, 80 * time.Millisecond})
+		assert.Equal(t, w.ask("late9", "/one/x").Outcome, Forwarded)
+
+		w.startOn(late, slowStore{w.store, 400 * time.Millisecond})
+		begun := time.Now()
+		assert.Equal(t, w.ask("late9", "/one/x").Outcome, NotRun)
+		assert.Assert(t, time.Since(begun) <= startWait, "%v", time.Since(begun))
+	})
+}
+
+func TestOversizedRequestsAreRefused(t *testing.T) {
+	config := shardedConfig(1, 1)
+	config.Limits = route.Limits{HeaderBytes: 100, BodyBytes: 10}
+	inWorld(t, config, serversOf([]string{"single"}, "a1"), oneHost, func(w *world) {
+		serve := func(header, body int) Outcome {
+			r := w.newRequest("/one/x")
+			r.HeaderBytes, r.Body = header, make([]byte, body)
+			return w.hosts["host1"].Serve(w.ctx, r).Outcome
+		}
+		assert.Equal(t, serve(100, 10), Forwarded)
+		assert.Equal(t, serve(101, 10), HeaderTooLarge)
+		assert.Equal(t, serve(100, 11), TooLarge)
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,6 +20,11 @@
 	// comeBack is the least time after which a refused caller is asked to come
 	// back.
 	comeBack = 50 * time.Millisecond
+	// startWait is for how long a request waits on a host that has just started
+	// and does not know the configuration yet. The smallest hosts learn it within
+	// 0.2 s; a caller that is refused needs a new connection, and may come to
+	// another host that starts.
+	startWait = 150 * time.Millisecond
 	// defaultObjective stands for the objective of a route that has none, as a
 	// share of its timeout.
 	defaultObjective = 0.5
@@ -30,7 +35,7 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	v := g.control.view()
+	v := g.startedView(ctx)
 	t := &trace{}
 	name, objective := "", time.Duration(0)
 	entry, answer := match(v, r)
@@ -45,6 +50,30 @@
 	return answer
 }
 
+// startedView returns the view in force. On a host that has just started it
+// waits for a moment until there is something to know.
+func (g *Gateway) startedView(ctx context.Context) *view {
+	if v := g.control.view(); v.known {
+		return v
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-g.control.started:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.control.view()
+}
+
+// Limits returns what callers may send by the configuration in force.
+func (g *Gateway) Limits() route.Limits {
+	if table := g.control.view().table; table != nil {
+		return table.Limits()
+	}
+	return route.Limits{}
+}
+
 // match finds the route, or the answer where there is none.
 func match(v *view, r *Request) (*route.Entry, Answer) {
 	if v.table == nil {
@@ -53,7 +82,11 @@
 	if r.ID == "" {
 		return nil, Answer{Outcome: Malformed, Code: CodeNoID, Reason: "the request has no identifier"}
 	}
-	if limit := v.table.Limits().BodyBytes; limit > 0 && len(r.Body) > limit {
+	limits := v.table.Limits()
+	if limits.HeaderBytes > 0 && r.HeaderBytes > limits.HeaderBytes {
+		return nil, Answer{Outcome: HeaderTooLarge, Code: CodeHeaderSize, Reason: "the header is larger than the configuration allows"}
+	}
+	if limits.BodyBytes > 0 && len(r.Body) > limits.BodyBytes {
 		return nil, Answer{Outcome: TooLarge, Code: CodeBodySize, Reason: "the body is larger than the configuration allows"}
 	}
 	entry := v.table.Match(r.Host, r.Path)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -32,6 +32,8 @@
 	count int
 	// farRegions are the other regions in which hosts stand.
 	farRegions []string
+	// known tells that the configuration and the servers are known.
+	known bool
 	// ready tells that requests are wanted.
 	ready bool
 	// storeLost is when the store was last found away; zero while it answers.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -70,10 +70,11 @@
 }
 
 func (w *world) start(file *settingspb.Gateway) *Gateway {
-	return w.startWith(file, &partedStore{fakeStore: w.store})
+	return w.startOn(file, &partedStore{fakeStore: w.store})
 }
 
-func (w *world) startWith(file *settingspb.Gateway, store *partedStore) *Gateway {
+// startOn starts a gateway on a store of its own kind.
+func (w *world) startOn(file *settingspb.Gateway, store Store) *Gateway {
 	g := New(file, Edges{Store: store, Leafs: w.leafs, Peers: w.peers}, zerolog.Nop())
 	w.peers.add(file.GetListen().GetPeers(), g)
 	w.hosts[file.GetHost().GetName()] = g
--- a/route/config.go
+++ b/route/config.go
@@ -59,9 +59,10 @@
 	MaxConns int
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send; 0 is no bound.
 type Limits struct {
-	BodyBytes int
+	// HeaderBytes bounds the header of a request, BodyBytes its body.
+	HeaderBytes, BodyBytes int
 	// IdleTimeout is for how long a caller's connection may stay unused.
 	IdleTimeout time.Duration
 }
