The retry budget goes first to queries that lack little

Change: a query may use the whole budget if it lacks at most three shards beyond those that are in or under way, less the more it lacks, 0.9 if it has enough already and 0.6 once its time to answer has passed.

TestBudgetGoesFirstToQueriesThatLackLittle.

--- a/fanout/query_test.go
+++ b/fanout/query_test.go
@@ -205,3 +205,25 @@
 	// 1 shard may get a second attempt
 	// true [part-0] 1
 }
+
+// While most servers refused, every query once took from the budget alike, and
+// most ended just below the least share.
+func TestBudgetGoesFirstToQueriesThatLackLittle(t *testing.T) {
+	extra := func(covered, running int, now time.Time) float64 {
+		q := fanout.New(fanout.Settings{Shards: 20, Top: 1, MinShare: 0.9, MaxAttempts: 2, AnswerAt: start.Add(time.Second), End: start.Add(time.Minute)})
+		for n := range covered + running {
+			q.Sent(n, time.Time{})
+			if n < covered {
+				q.Ended(n)
+				q.Offer(fanout.Block{Shards: []int{n}, Signatures: []string{fmt.Sprint(n)}})
+			}
+		}
+		return q.ExtraShare(now)
+	}
+	assert.Equal(t, extra(10, 6, start), 1.0, "two lack")
+	assert.Equal(t, extra(15, 0, start), 1.0, "three lack")
+	assert.Assert(t, extra(12, 0, start) < extra(15, 0, start))
+	assert.Assert(t, extra(0, 0, start) >= 0.5, "none is left out altogether")
+	assert.Assert(t, extra(18, 0, start) < 1, "it has enough")
+	assert.Assert(t, extra(17, 0, start.Add(2*time.Second)) < extra(18, 0, start), "it is late")
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,6 +106,9 @@
 	if kind == hedgeAttempt {
 		part = hedgePart
 	}
+	if q.entry.Query != nil {
+		part *= q.state.ExtraShare(now)
+	}
 	slack := q.gateway.startedShare(now) * slackShare * s.GetSlack() / hosts
 	return g.extra(part*budgetShare*s.GetShare(), part*slack, now)
 }
