Connections that went silent are not tried one by one

A host keeps up to 32 idle connections to a peer. Found silent, the peer was suspected and probed on the next idle connection, which was silent too, after 0.5 s, 1 s, 2 s, then every 4 s: with 10 connections half a minute without that relay.

Ruled out: TCP's own time-outs (whatever stands between may acknowledge); servers (a connection that brought no answer is closed, and few are kept for each); the store (each call has a time-out that closes its connection).

Change: a peer that is suspected loses its idle connections, so that the probe makes a new one.

Also: two tests of the gateway read fields of other goroutines without a lock; the race detector, which now runs through the package, said so.

--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -83,6 +83,8 @@
 	Gather(ctx context.Context, address string, request *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error
 	State(ctx context.Context, address string, request *relaypb.StateRequest) (*relaypb.StateReply, error)
 	Follow(ctx context.Context, address string, request *relaypb.FollowRequest, received func(*relaypb.FollowReply)) error
+	// Forget closes the idle connections to a gateway.
+	Forget(address string)
 }
 
 // Entry is one value of the platform's store that matters to a gateway.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -226,9 +226,10 @@
 func TestOneHostOfARegionReadsTheStore(t *testing.T) {
 	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneRegion, func(w *world) {
 		time.Sleep(5 * time.Second)
-		before := w.store.calls
+		before := w.store.calls.Load()
 		time.Sleep(10 * time.Second)
-		assert.Assert(t, w.store.calls-before < 20, "%d calls", w.store.calls-before)
+		calls := w.store.calls.Load() - before
+		assert.Assert(t, calls < 20, "%d calls", calls)
 	})
 }
 
@@ -377,17 +378,24 @@
 	})
 }
 
+// size returns the number of routes remembered, near and far apart.
+func (l *latencies) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.delays)
+}
+
 // What a host remembers of routes goes with them: routes come and go all day.
 func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
 	inWorld(t, shardedConfig(1, 2), serversOf(shardNames(2), "a1"), oneHost, func(w *world) {
 		w.ask("host1", "/q/x")
 		g := w.hosts["host1"]
-		assert.Equal(t, len(g.latency.delays), 1)
+		assert.Equal(t, g.latency.size(), 1)
 		next := shardedConfig(2, 2)
 		next.Routes = next.Routes[1:]
 		w.store.putConfig(next)
 		time.Sleep(time.Second)
-		assert.Equal(t, len(g.latency.delays), 0)
+		assert.Equal(t, g.latency.size(), 0)
 	})
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -157,7 +157,7 @@
 	relay := rc.relay
 	rc.done = make([]bool, len(rc.attempts))
 	g.peers.start(relay.address)
-	silence := time.AfterFunc(rc.silenceTimeout(request), func() { g.peers.suspect(relay.address, time.Now()) })
+	silence := time.AfterFunc(rc.silenceTimeout(request), func() { g.suspect(relay.address, time.Now()) })
 	err := g.edges.Peers.Gather(ctx, relay.address, request, func(reply *relaypb.GatherReply) {
 		silence.Stop()
 		g.peers.answered(relay.address)
@@ -166,7 +166,7 @@
 	silence.Stop()
 	now := time.Now()
 	if err != nil && ctx.Err() == nil {
-		g.peers.suspect(relay.address, now)
+		g.suspect(relay.address, now)
 		g.log.Debug().Err(err).Str("peer", relay.name).Msg("relay failed")
 	}
 	g.peers.end(relay.address)
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -44,7 +44,7 @@
 				return
 			}
 			g.log.Info().Err(err).Str("peer", leader.name).Msg("the host that was followed is not up to date: reading the store")
-			g.peers.suspect(leader.address, time.Now())
+			g.suspect(leader.address, time.Now())
 		}
 		err := g.followOnce(ctx)
 		if ctx.Err() != nil {
@@ -141,12 +141,19 @@
 	}
 }
 
+// suspect keeps requests from a peer until it answers a probe. The probe comes
+// on a new connection, as those that are open may have gone silent for good.
+func (g *Gateway) suspect(address string, now time.Time) {
+	g.peers.suspect(address, now)
+	g.edges.Peers.Forget(address)
+}
+
 // probePeer asks for nothing newer than any revision: only the answer counts.
 func (g *Gateway) probePeer(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if _, err := g.edges.Peers.State(callCtx, address, &relaypb.StateRequest{Revision: math.MaxUint64}); err != nil {
-		g.peers.suspect(address, time.Now())
+		g.suspect(address, time.Now())
 		return
 	}
 	g.peers.answered(address)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -283,6 +283,8 @@
 	return g.Gather(m, &fakeStream{ctx: ctx, send: received})
 }
 
+func (p *fakePeers) Forget(string) {}
+
 func (p *fakePeers) State(ctx context.Context, address string, m *relaypb.StateRequest) (*relaypb.StateReply, error) {
 	g, cut := p.find(address)
 	if g == nil || cut {
@@ -343,7 +345,7 @@
 	compact  bool
 	leases   map[uint64]string
 	// calls counts reads and watches.
-	calls int
+	calls atomic.Int64
 }
 
 // storeTimeout is the bound of a call of the store in the fake world.
@@ -428,7 +430,7 @@
 func (s *fakeStore) Read(context.Context) (Reading, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
+	s.calls.Add(1)
 	if s.down {
 		return Reading{}, errStoreDown
 	}
@@ -442,7 +444,7 @@
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Reading, error) {
 	end := time.After(wait)
 	s.mu.Lock()
-	s.calls++
+	s.calls.Add(1)
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -83,6 +83,18 @@
 // Close closes all idle connections.
 func (c *DRPC) Close() error { return c.pool.Close() }
 
+// Forget closes the idle connections to a peer that was found silent: all may
+// have gone silent without a reset, while a new one would work.
+func (c *DRPC) Forget(address string) {
+	for {
+		conn, ok := c.pool.Take(address)
+		if !ok {
+			return
+		}
+		_ = conn.Close() // Nothing is under way on it.
+	}
+}
+
 // call runs fn on a connection.
 func (c *DRPC) call(ctx context.Context, address string, fn func(client peerpb.DRPCPeerClient) error) error {
 	return c.with(ctx, address, func(conn drpc.Conn) error { return fn(peerpb.NewDRPCPeerClient(conn)) })
