Query and replica set: a file each job; mutants for today's guards

Blocks and what a query may take from the budget have files of their own now, and so have what is observed of a replica and its ejection.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning ($file no longer has it)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./internal/invariant ./config ./internal/gateway ./fanout ./route ./discovery ./retry ./replica ./platform -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./internal/invariant ./config ./internal/gateway ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -45,8 +45,8 @@
 TestInvariantConfiguration@config/editor.go@s/err := e.persist\(ctx, func\(\) error \{\n\t\tvar err error\n\t\tswapped, err = e.Store.CompareAndSwap\(ctx, HeadKey, version, encoded\)\n\t\treturn err\n\t\}\)\n\tif err != nil \{\n\t\treturn 0, fmt.Errorf\("%w \(%v\)", ErrUnknown, err\)/swapped, err := e.Store.CompareAndSwap(ctx, HeadKey, version, encoded)\n\tif err != nil {\n\t\treturn 0, fmt.Errorf("%w (%v)", ErrUnavailable, err)/@a lost reply is taken for a refusal
 TestInvariantConfiguration@config/editor.go@s/(return 0, fmt.Errorf\("%w \(%v\)", ErrUnknown, err\)\n\t\}\n)\tif revision, done := acceptedAs\(head, changeID\); done \{\n\t\treturn revision, nil\n\t\}\n/$1/@a change that landed is called a conflict
 TestHolderNeverGoesBack@route/table.go@s/config.Version <= h.table.Version\(\)/config.Version == h.table.Version()/@an older configuration of the platform is put in force
-TestAnswersAreTrue@fanout/query.go@s/if !q.anyCovered\(b.Shards\) \{/if true {/@a shard is in an answer twice
-TestFloorLeavesOutWhatCannotCount@fanout/query.go@s/blocks := settle\(q.settings.Top, (.*)\)\n/blocks := $1\n/@a block whose floor does not hold is counted
+TestAnswersAreTrue@fanout/block.go@s/if !q.anyCovered\(b.Shards\) \{/if true {/@a shard is in an answer twice
+TestFloorLeavesOutWhatCannotCount@fanout/block.go@s/blocks := settle\(q.settings.Top, (.*)\)\n/blocks := $1\n/@a block whose floor does not hold is counted
 TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if r.away \|\| now.Before\(r.trustFrom\) \{\n\t\te.missing/if false {\n\t\te.missing/@entries that lapse in an outage are gone at once
 TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.counted\[need.Shard\] \{/if kind == firstAttempt {/@tries that reach nobody earn budget
 TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.mayHaveRun && !q.running\(\) &&/if/@a request that may have run is called not run
@@ -65,5 +65,17 @@
 TestEarlyAnswerToALongBodyEndsTheConnection@internal/httppool/pool.go@s/return response, false, err\n\t\}\n\}/return response, true, err\n\t}\n}/@the rest of a body meets another request
 TestHostStartsSoonWhereTheStoreIsSilent@internal/gateway/sync.go@s/if v.storeLost.IsZero\(\) && v.revision > 0 \{/if v.storeLost.IsZero() {/@a starting host waits for a silent store
 TestHalfOfTheRelaysLostAtOnce@internal/gateway/peerhealth.go@s/if _, suspected := p.probeAt\[h.address\]; suspected \|\|/if time.Now().Before(p.probeAt[h.address]) ||/@requests are sent to try a lost peer
+TestSlowServerIsProbedByTheWholeFleetTogether@internal/gateway/attempt.go@s/q.view.count\/probingHosts/0*probingHosts/@every host of a large fleet probes a slow server at the full rate
+TestHostsLearnOfSlowServersFromTheRelay@internal/gateway/send.go@s/\trc.takeReport\(reply, now\)\n//@what relays say of servers is not used
+TestDarkServerIsAvoided@internal/gateway/send.go@s/if cut \{\n\t\treturn callCut\n\t\}\n\treturn callFailed\n\}\n\n\/\/ sendRelayed/if cut {\n\t\treturn callNoEvidence\n\t}\n\treturn callFailed\n}\n\n\/\/ sendRelayed/@a connection that was given up says nothing
+TestReplicaSilentFromTheStartIsAvoided@replica/observe.go@s/if elapsed > leaf.latency \{/if elapsed > leaf.latency && leaf.latency > 0 {/@a server that never answered stays unknown
+TestOwnFreshObservationGoesBeforeAReport@replica/report.go@s/now.Sub\(leaf.observed\) > ownLife/true/@a report ends fresh observations
+TestTrimmedBatchesHoldTheGreatest@fanout/trimmer.go@s/Top\(t.top, t.best, records\)/Top(t.top, records, records)/@records sent once raise the floor twice
+TestRequestWaitsForTheStartOfItsHost@internal/gateway/serve.go@s/startWait = 150/startWait = 0/@a starting host refuses every request
+TestOversizedRequestsAreRefused@internal/gateway/serve.go@s/r.HeaderBytes > limits.HeaderBytes/false/@headers of any size are taken
+TestBodyIsReadUpToTheConfiguredLimit@platform/caller.go@s/most := limits.BodyBytes/most := 0/@a body is read beyond the limit
+TestBudgetGoesFirstToQueriesThatLackLittle@fanout/extra.go@s/lackingStep     = 0.1/lackingStep     = 0.0/@all queries take from the budget alike
+TestPackedRepliesComeBack@internal/gateway/relaywire.go@s/(func unpackReply.*?)!= relaypb.Outcome_PART/$1== relaypb.Outcome_NOT_SENT/s@signatures go to results that are no parts
+TestForgottenConnectionsAreNotUsed@internal/peer/client.go@s/_ = conn.Close\(\) \/\/ Nothing/defer c.pool.Put(address, conn) \/\/ Nothing/@silent connections are kept
 LIST
 exit $survived
