--- a/cmd/mallowgap/settings.go
+++ b/cmd/mallowgap/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"google.golang.org/protobuf/proto"
@@ -65,9 +66,14 @@
 
 // Execute prints the reference of all settings.
 func (*settingsRef) Execute([]string) error {
-	fmt.Print("# Settings\n\nMade from `api/settingspb/settings.proto` by `mallowgap settings reference`.\n\n")
-	settings.Markdown(os.Stdout, "Entry host", (&settingspb.Entry{}).ProtoReflect().Descriptor())
-	settings.Markdown(os.Stdout, "Gateway", (&settingspb.Gateway{}).ProtoReflect().Descriptor())
-	settings.Markdown(os.Stdout, "Load scenario", (&settingspb.Scenario{}).ProtoReflect().Descriptor())
+	writeReference(os.Stdout)
 	return nil
 }
+
+// writeReference writes the page docs/SETTINGS.md.
+func writeReference(w io.Writer) {
+	fmt.Fprint(w, "# Settings\n\nMade from `api/settingspb/settings.proto` by `mallowgap settings reference`.\n\n")
+	settings.Markdown(w, "Entry host", (&settingspb.Entry{}).ProtoReflect().Descriptor())
+	settings.Markdown(w, "Gateway", (&settingspb.Gateway{}).ProtoReflect().Descriptor())
+	settings.Markdown(w, "Load scenario", (&settingspb.Scenario{}).ProtoReflect().Descriptor())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync"
@@ -59,7 +60,7 @@
 		name: h.GetName(), settings: settings, edges: edges, log: log, fleet: f,
 		seeds: list(settings.GetStore().GetSeeds()),
 		self: &relaypb.Host{
-			Name: h.GetName(), Address: settings.GetListen().GetPeers(), Domain: p.domain, Region: p.region,
+			Name: h.GetName(), Address: cmp.Or(settings.GetListen().GetPeersAdvertised(), settings.GetListen().GetPeers()), Domain: p.domain, Region: p.region,
 			Strength: h.GetCpuShare() * h.GetCpuSpeed(), Packs: true,
 		},
 		counters: newCounters(),
