Hosts do not go back at once to one that lost the store

Ruled out: the store (it answered each probe), slow peers (each answered).

Change: a host that lost the store, or has heard nothing new from it for too long, is not followed for 4 to 6 s. The first host that the store does not turn away then reads for its region, and the others follow it.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -24,6 +24,10 @@
 	// probeEvery is the mean interval at which a follower asks the store itself
 	// while the host that it follows says that the store is lost.
 	probeEvery = 2 * time.Second
+	// heldOffFor is for how long a host that lost the store, which others reach,
+	// is not followed, up to half as long again at random. The store may turn a
+	// host away for many seconds; to find out costs a call or two.
+	heldOffFor = 4 * time.Second
 	// probeWait is the wait of such a question.
 	probeWait = time.Millisecond
 )
@@ -47,13 +51,24 @@
 		if compareHosts(h, host{name: g.name, strength: g.self.GetStrength()}) >= 0 {
 			return host{}, false
 		}
-		if !g.peers.suspected(h.address) {
+		if !g.peers.suspected(h.address) && !time.Now().Before(g.heldOff[h.address]) {
 			return h, true
 		}
 	}
 	return host{}, false
 }
 
+// holdOff keeps this host from following one that lost the store, or of which
+// nothing new was heard.
+func (g *Gateway) holdOff(address string, now time.Time) {
+	for other, until := range g.heldOff {
+		if !now.Before(until) {
+			delete(g.heldOff, other)
+		}
+	}
+	g.heldOff[address] = now.Add(heldOffFor + rand.N(heldOffFor/2))
+}
+
 // inRegion returns the hosts of a region, the strongest first.
 func (v *view) inRegion(region string) []host {
 	var hosts []host
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,9 +39,11 @@
 	peers    *peerHealth
 	reports  *reports
 
-	// loaded and followed belong to the goroutine that follows the store.
+	// loaded, followed and heldOff belong to the goroutine that follows the store.
 	loaded   bool
 	followed uint64
+	// heldOff tells until when a host, by its address, is not followed.
+	heldOff map[string]time.Time
 
 	started  time.Time
 	inFlight atomic.Int64
@@ -68,6 +70,7 @@
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		peers:    newPeerHealth(),
 		reports:  newReports(f),
+		heldOff:  map[string]time.Time{},
 		started:  time.Now(),
 	}
 	g.control = newControl(edges.Store, f, int(settings.GetRelay().GetHostsPerDomain()), log)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -378,6 +378,25 @@
 	})
 }
 
+// Hosts once went back to a host that had lost the store as soon as it answered a
+// probe, found the store again, and so on: seven calls a second from each.
+func TestHostsDoNotGoBackToOneThatLostTheStore(t *testing.T) {
+	first := settingsOf(t, hostSpec{"host0", "a1", "a"})
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneRegion, func(w *world) {
+		parted := &partedStore{fakeStore: w.store}
+		w.startOn(first, parted)
+		time.Sleep(10 * time.Second)
+		parted.parted.Store(true)
+		before := w.store.calls.Load()
+		time.Sleep(10 * time.Second)
+		calls := w.store.calls.Load() - before
+		assert.Assert(t, calls <= 65, "%d calls in 10 s", calls)
+		for _, name := range []string{"host1", "host2", "host3", "host4"} {
+			assert.Assert(t, w.hosts[name].control.view().storeLost.IsZero(), name)
+		}
+	})
+}
+
 // size returns the number of routes remembered, near and far apart.
 func (l *latencies) size() int {
 	l.mu.Lock()
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -44,7 +44,11 @@
 				return
 			}
 			g.log.Info().Err(err).Str("peer", leader.name).Msg("the host that was followed is not up to date: reading the store")
-			g.suspect(leader.address, time.Now())
+			if errors.Is(err, errLeaderCut) || errors.Is(err, errLeaderStale) {
+				g.holdOff(leader.address, time.Now())
+			} else {
+				g.suspect(leader.address, time.Now())
+			}
 		}
 		err := g.followOnce(ctx)
 		if ctx.Err() != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,5 +77,6 @@
 TestBudgetGoesFirstToQueriesThatLackLittle@fanout/extra.go@s/lackingStep     = 0.1/lackingStep     = 0.0/@all queries take from the budget alike
 TestPackedRepliesComeBack@internal/gateway/relaywire.go@s/(func unpackReply.*?)!= relaypb.Outcome_PART/$1== relaypb.Outcome_NOT_SENT/s@signatures go to results that are no parts
 TestForgottenConnectionsAreNotUsed@internal/peer/client.go@s/_ = conn.Close\(\) \/\/ Nothing/defer c.pool.Put(address, conn) \/\/ Nothing/@silent connections are kept
+TestHostsDoNotGoBackToOneThatLostTheStore@internal/gateway/follow.go@s/now.Add\(heldOffFor \+ rand.N\(heldOffFor\/2\)\)/now/@a host that lost the store is followed again at once
 LIST
 exit $survived
