A part of a small retry budget is not rounded down

Cause: a query that has enough may use 0.8 of the budget, a hedge 0.85 of that. A host of a large fleet has two or three extra attempts a shard in ten seconds, and 0.68 of 3.2 is two: the share kept back cost it a third.

Change: only whole attempts are kept back; what is permitted at all stays as it was, and the property test of the window draws parts too.

TestPartOfASmallBudgetIsNotRoundedDown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,7 @@
 		part *= q.state.ExtraShare(now)
 	}
 	slack := q.gateway.startedShare(now) * slackShare * s.GetSlack() / hosts
-	return g.extra(part*budgetShare*s.GetShare(), part*slack, now)
+	return g.extra(part, budgetShare*s.GetShare(), slack, now)
 }
 
 func (q *query) count(kind attemptKind) {
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -183,9 +183,9 @@
 	g.window.First(1, now)
 }
 
-// extra takes an extra attempt from the budget of the service.
-func (g *group) extra(share, slack float64, now time.Time) bool {
+// extra takes an extra attempt that may use a part of the service's budget.
+func (g *group) extra(part, share, slack float64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.window.Take(share, slack, now)
+	return g.window.TakePart(part, share, slack, now)
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -31,8 +31,16 @@
 // Take takes an extra attempt if, with it, the extra attempts of the span are
 // at most share times its first attempts plus slack.
 func (w *Window) Take(share, slack float64, now time.Time) bool {
+	return w.TakePart(1, share, slack, now)
+}
+
+// TakePart is Take for an attempt that may only use a part (0 to 1) of what is
+// permitted, so that the rest is left to others. Only whole attempts are kept
+// back: of a few permitted ones none is.
+func (w *Window) TakePart(part, share, slack float64, now time.Time) bool {
 	first, extra := w.Counts(now)
-	if float64(extra+1) > share*float64(first)+slack {
+	permitted := share*float64(first) + slack
+	if float64(extra+1) > permitted || float64(extra) >= part*permitted {
 		return false
 	}
 	w.slice(now).extra++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/mallowgap/mallowgap/retry"
@@ -32,7 +33,7 @@
 			if rapid.Bool().Draw(rt, "first") {
 				w.First(1, now)
 				events = append(events, event{at: now})
-			} else if w.Take(share, slack/float64(hosts), now) {
+			} else if w.TakePart(rapid.Float64Range(0, 1).Draw(rt, "part"), share, slack/float64(hosts), now) {
 				events = append(events, event{at: now, extra: true})
 			}
 		}
@@ -76,3 +77,21 @@
 		w.Take(0.2, 10, now)
 	}
 }
+
+// A part of a small budget was once rounded down: a host of a large fleet, which
+// has two or three extra attempts a shard in ten seconds, lost one of them.
+func TestPartOfASmallBudgetIsNotRoundedDown(t *testing.T) {
+	taken := func(part, slack float64) int {
+		w := retry.NewWindow(10 * time.Second)
+		n := 0
+		for w.TakePart(part, 0, slack, time.Unix(1000, 0)) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, taken(1, 3.2), 3)
+	assert.Equal(t, taken(0.7, 3.2), 3)
+	assert.Equal(t, taken(0.5, 3.2), 2)
+	assert.Equal(t, taken(0.7, 30), 21, "of a large one a part is kept back")
+	assert.Equal(t, taken(0, 30), 0)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -55,7 +55,7 @@
 TestFollowersLearnInTimeWhateverBecomesOfTheLeader@internal/gateway/follow.go@s/time.After\(silenceLimit\)/time.After(time.Hour)/@a silent leader is followed for ever
 TestNoTwoHostsFollowEachOther@internal/gateway/follow.go@s/>= 0 \{/> 1 {/@two hosts follow each other
 TestConnectionsLeaveRoomForARestart@internal/gateway/fleet.go@s/connShare = 0.45/connShare = 0.9/@connections of before and after a power loss do not fit
-TestWindowHoldsOverAnySpan@retry/window.go@s/> share\*float64\(first\)\+slack/> 2*share*float64(first)+slack/@the window permits too much
+TestWindowHoldsOverAnySpan@retry/window.go@s/> permitted \|\| .*permitted \{/> 2*permitted {/@the window permits too much
 TestOneSilentServerOfARelayCostsOneHedge@internal/gateway/query.go@s/softCap = 0.2/softCap = 0.9/@a relay holds its parts back
 TestRequestThatReachesNobodyIsRefusedSoon@internal/gateway/query.go@s/return q.arrived \|\| q.running\(\)/return true/@a send that reached nobody counts as an offer
 TestRefusingReplicaIsChosenLess@replica/set.go@s/refusalCost = 150/refusalCost = 0/@refusals cost nothing
@@ -78,5 +78,6 @@
 TestPackedRepliesComeBack@internal/gateway/relaywire.go@s/(func unpackReply.*?)!= relaypb.Outcome_PART/$1== relaypb.Outcome_NOT_SENT/s@signatures go to results that are no parts
 TestForgottenConnectionsAreNotUsed@internal/peer/client.go@s/_ = conn.Close\(\) \/\/ Nothing/defer c.pool.Put(address, conn) \/\/ Nothing/@silent connections are kept
 TestHostsDoNotGoBackToOneThatLostTheStore@internal/gateway/follow.go@s/now.Add\(heldOffFor \+ rand.N\(heldOffFor\/2\)\)/now/@a host that lost the store is followed again at once
+TestEntriesArePacked@internal/gateway/relaywire.go@s/p.known == known && p.state == n.changed/p.known == known/@entries of an older state are sent
 LIST
 exit $survived
