A host does not vouch for servers that it has ejected

Cause (found by reading the diff): a relay vouches for the servers that it does not call slow. One that fails at once is fast; a relay that had ejected it vouched for it, and hosts that had ejected it by themselves took it back after a second. A silent server of which little was known could be reported with 0 ms, which means sound.

Change: ejected servers are among the slow ones; those and silent ones are reported with a second at least.

TestEjectedReplicaIsNotVouchedFor failed first.

--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -59,30 +59,30 @@
 // addSlow adds the slow servers of one set of shards, which do the same kind of
 // work.
 func (r *reports) addSlow(shards []string, since map[string]time.Time, now time.Time) {
-	ids, observed := r.fleet.observations(shards)
-	for _, i := range replica.Slow(observed, now) {
-		id := ids[i]
+	ids, observed := r.fleet.observations(shards, now)
+	for _, s := range replica.Slow(observed, now) {
+		id := ids[s.Index]
 		from, ok := r.since[id]
 		if !ok {
 			from = now
 		}
 		since[id] = from
 		if now.Sub(from) >= reportAfter && len(r.slow) < maxReported {
-			r.slow = append(r.slow, &relaypb.SlowServer{Id: id, ExpectedMs: uint32(observed[i].Latency.Milliseconds())})
+			r.slow = append(r.slow, &relaypb.SlowServer{Id: id, ExpectedMs: uint32(s.Latency.Milliseconds())})
 		}
 	}
 }
 
 // observations returns what was observed of the servers of services in the own
 // failure domain.
-func (f *fleet) observations(services []string) (ids []string, observed []replica.Observation) {
+func (f *fleet) observations(services []string, now time.Time) (ids []string, observed []replica.Observation) {
 	for _, service := range services {
 		g := f.group(service)
 		g.mu.Lock()
 		for _, b := range g.members {
 			if b.Domain == f.location.domain {
 				ids = append(ids, b.ID)
-				observed = append(observed, b.leaf.Observation())
+				observed = append(observed, b.leaf.Observation(now))
 			}
 		}
 		g.mu.Unlock()
--- a/replica/report.go
+++ b/replica/report.go
@@ -26,22 +26,36 @@
 	Cuts int
 	// Answered is when the replica last answered; zero is never.
 	Answered time.Time
+	// Ejected tells that it failed so often that it is avoided.
+	Ejected bool
 }
 
 // Observation returns what was observed of a replica here.
-func (l *Leaf) Observation() Observation {
-	return Observation{Latency: l.estimate(), Cuts: l.cuts, Answered: l.answered}
+func (l *Leaf) Observation(now time.Time) Observation {
+	return Observation{Latency: l.estimate(), Cuts: l.cuts, Answered: l.answered, Ejected: now.Before(l.ejectedUntil)}
 }
 
-// Slow returns the indexes of the observations, all of replicas that do the
-// same kind of work, that are much slower than the middle one, or silent.
-func Slow(observations []Observation, now time.Time) []int {
-	limit := avoidFactor * middle(observations)
-	var slow []int
+// SlowReplica is a replica that others should avoid.
+type SlowReplica struct {
+	// Index is that of its observation.
+	Index int
+	// Latency is what to expect of it; of one that fails or is silent, so much
+	// that another is chosen.
+	Latency time.Duration
+}
+
+// Slow returns those of the observations, all of replicas that do the same kind
+// of work, that are much slower than the middle one, silent or ejected.
+func Slow(observations []Observation, now time.Time) []SlowReplica {
+	typical := middle(observations)
+	limit := max(avoidFactor*typical, slowFloor)
+	var slow []SlowReplica
 	for i, o := range observations {
 		silent := o.Cuts >= silentCuts && now.Sub(o.Answered) > silentTime
-		if silent || (limit > 0 && o.Latency > max(limit, slowFloor)) {
-			slow = append(slow, i)
+		if silent || o.Ejected {
+			slow = append(slow, SlowReplica{Index: i, Latency: max(o.Latency, silentTime)})
+		} else if typical > 0 && o.Latency > limit {
+			slow = append(slow, SlowReplica{Index: i, Latency: o.Latency})
 		}
 	}
 	return slow
--- a/replica/report_test.go
+++ b/replica/report_test.go
@@ -17,16 +17,31 @@
 		}
 		return all
 	}
-	assert.DeepEqual(t, replica.Slow(observed(10*ms, 12*ms, 11*ms, 80*ms, 9*ms), start), []int{3})
-	assert.DeepEqual(t, replica.Slow(observed(10*ms, 60*ms, 70*ms, 10*ms, 10*ms), start), []int{1, 2})
+	assert.DeepEqual(t, replica.Slow(observed(10*ms, 12*ms, 11*ms, 80*ms, 9*ms), start), []replica.SlowReplica{{Index: 3, Latency: 80 * ms}})
+	assert.DeepEqual(t, replica.Slow(observed(10*ms, 60*ms, 70*ms, 10*ms, 10*ms), start),
+		[]replica.SlowReplica{{Index: 1, Latency: 60 * ms}, {Index: 2, Latency: 70 * ms}})
 	assert.Equal(t, len(replica.Slow(observed(10*ms, 25*ms), start)), 0)
+	assert.Equal(t, len(replica.Slow(observed(ms/10, ms/10, ms/2), start)), 0, "too fast to matter")
+	assert.Equal(t, len(replica.Slow(observed(ms/10, ms/10, 50*ms), start)), 1)
 	assert.Equal(t, len(replica.Slow(observed(0, 0, 40*ms), start)), 0, "what is unknown is no measure")
 	assert.Equal(t, len(replica.Slow(nil, start)), 0)
 
 	silent := observed(10*ms, 10*ms, 10*ms)
 	silent[1].Cuts = 5
 	assert.Equal(t, len(replica.Slow(silent, start.Add(100*ms))), 0, "a pause is no silence")
-	assert.DeepEqual(t, replica.Slow(silent, start.Add(3*time.Second)), []int{1})
+	assert.DeepEqual(t, replica.Slow(silent, start.Add(3*time.Second)), []replica.SlowReplica{{Index: 1, Latency: time.Second}})
+}
+
+// A server that fails at once looks fast: a host that had ejected it once vouched
+// for it, so that others took it back.
+func TestEjectedReplicaIsNotVouchedFor(t *testing.T) {
+	s := newSet(2, 2, replica.Observed)
+	answer(s, 1, 5*time.Millisecond, start)
+	for range 3 {
+		s.Failed(0, start)
+	}
+	observed := []replica.Observation{s.Leaves[0].Observation(start), s.Leaves[1].Observation(start)}
+	assert.DeepEqual(t, replica.Slow(observed, start), []replica.SlowReplica{{Index: 0, Latency: time.Second}})
 }
 
 func TestReportedReplicaIsAvoidedUntilItIsVouchedFor(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -79,5 +79,6 @@
 TestForgottenConnectionsAreNotUsed@internal/peer/client.go@s/_ = conn.Close\(\) \/\/ Nothing/defer c.pool.Put(address, conn) \/\/ Nothing/@silent connections are kept
 TestHostsDoNotGoBackToOneThatLostTheStore@internal/gateway/follow.go@s/now.Add\(heldOffFor \+ rand.N\(heldOffFor\/2\)\)/now/@a host that lost the store is followed again at once
 TestEntriesArePacked@internal/gateway/relaywire.go@s/p.known == known && p.state == n.changed/p.known == known/@entries of an older state are sent
+TestEjectedReplicaIsNotVouchedFor@replica/report.go@s/silent \|\| o.Ejected/silent/@a server that fails at once is vouched for
 LIST
 exit $survived
