One place each for a server's index and for deflating

Cause (reading the diff): group.reported looped over the members as call.index did, and Pack and Deflate held a writer pool and the same five lines each. Change: group.index serves both; deflate and newWriters serve Pack and Deflate. Behaviour is the same. Ruled out as twins after a look: watch and read of the store (they take their readings in differently).

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mallowgap/mallowgap/replica"
@@ -132,7 +133,7 @@
 	if result == callMoved {
 		leaf.Leaving = true
 	}
-	i := c.index()
+	i := g.index(leaf)
 	if i == replica.None {
 		return false
 	}
@@ -149,13 +150,10 @@
 	return false
 }
 
-func (c *call) index() int {
-	for i, b := range c.group.members {
-		if b.leaf == c.backend.leaf {
-			return i
-		}
-	}
-	return replica.None
+// index returns the place of a server among the members, or None where it is no
+// longer in service.
+func (g *group) index(leaf *replica.Leaf) int {
+	return slices.IndexFunc(g.members, func(b *backend) bool { return b.leaf == leaf })
 }
 
 // callResult is what a call tells about its server.
--- a/internal/packing/deflate.go
+++ b/internal/packing/deflate.go
@@ -12,20 +12,30 @@
 // and the entries of all servers of the largest deployment designed for.
 const maxInflated = 64 << 20
 
-// deflaters are kept, as each holds large tables.
-var deflaters = sync.Pool{New: func() any {
-	w, err := flate.NewWriter(io.Discard, flate.DefaultCompression)
-	if err != nil {
-		panic(err) // Only a level that does not exist fails.
-	}
-	return w
-}}
+// newWriters returns a pool of writers, which are kept as each holds large tables.
+func newWriters(level int) *sync.Pool {
+	return &sync.Pool{New: func() any {
+		w, err := flate.NewWriter(io.Discard, level)
+		if err != nil {
+			panic(err) // Only a level that does not exist fails.
+		}
+		return w
+	}}
+}
+
+var (
+	huffmanWriters = newWriters(flate.HuffmanOnly)
+	deflateWriters = newWriters(flate.DefaultCompression)
+	readers        = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+)
 
 // Deflate returns data in a shorter form, for which Inflate is the way back.
-func Deflate(data []byte) []byte {
+func Deflate(data []byte) []byte { return deflate(deflateWriters, data) }
+
+func deflate(writers *sync.Pool, data []byte) []byte {
 	var b bytes.Buffer
-	w := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(w)
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
 	w.Reset(&b)
 	_, _ = w.Write(data) // A bytes.Buffer takes every write.
 	_ = w.Close()
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -4,13 +4,9 @@
 package packing
 
 import (
-	"bytes"
-	"compress/flate"
 	"errors"
 	"fmt"
-	"io"
 	"strings"
-	"sync"
 )
 
 // separator ends each text of a packed list.
@@ -23,17 +19,6 @@
 // ErrTooLarge says that what is packed is larger than anything that is sent.
 var ErrTooLarge = errors.New("what is packed is larger than anything that is sent")
 
-// writers and readers are kept, as each holds large tables.
-var writers = sync.Pool{New: func() any {
-	w, err := flate.NewWriter(io.Discard, flate.HuffmanOnly)
-	if err != nil {
-		panic(err) // Only a level that does not exist fails.
-	}
-	return w
-}}
-
-var readers = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
-
 // Pack returns a shorter form of texts, or nil where there is none.
 func Pack(texts []string) []byte {
 	plain := 0
@@ -43,15 +28,11 @@
 		}
 		plain += len(text)
 	}
-	var b bytes.Buffer
-	w := writers.Get().(*flate.Writer)
-	defer writers.Put(w)
-	w.Reset(&b)
-	_, _ = io.WriteString(w, strings.Join(texts, separator)+separator) // A bytes.Buffer takes every write.
-	if err := w.Close(); err != nil || b.Len() >= plain {
+	packed := deflate(huffmanWriters, []byte(strings.Join(texts, separator)+separator))
+	if len(packed) >= plain {
 		return nil
 	}
-	return b.Bytes()
+	return packed
 }
 
 // Unpack returns the texts of a packed list.
