A report of a slow server has a line that explain finds

Cause (reading the diff): the line by which a host learns of slow servers named all of them in a field "servers" and carried the request that brought the news. mallowgap explain takes lines about servers from the field "server" and leaves lines of other requests out: it showed the report for no later request, though that is what decided where those went. The servers' groups were also looked up by name again for each reply, although the query holds them.

Ruled out: a second form in explain; the line is at fault, its twins (ejected, gone, draining) have a line for each server.

Change: a line for each server that is newly slow, with the latency expected and the peer; vouching goes over the query's own groups. What hosts believe is the same.

TestReportOfASlowServerExplainsLaterRequests failed first.

--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -90,38 +90,33 @@
 	return ids, observed
 }
 
-// takeReport takes in what a host of a failure domain says of the servers
-// there: slow is true of all, and where the host vouches, the others of these
-// shards are sound. It returns the servers that were not known to be slow.
-func (f *fleet) takeReport(domain string, shards []string, slow []*relaypb.SlowServer, vouches bool, now time.Time) []string {
-	var news []string
-	named := make(map[string]bool, len(slow))
-	for _, s := range slow {
-		named[s.GetId()] = true
-		b := f.server(s.GetId())
-		if b != nil && f.group(b.Service).reported(b, time.Duration(s.GetExpectedMs())*time.Millisecond, now) {
-			news = append(news, b.ID)
+// takeReport takes in the report that came with a reply of a relay: slow servers
+// are so for all requests; where the relay vouches, the others of this query are
+// sound.
+func (rc *relayCall) takeReport(reply *relaypb.GatherReply, now time.Time) {
+	g := rc.query.gateway
+	slow := make(map[string]bool, len(reply.GetSlow()))
+	for _, s := range reply.GetSlow() {
+		slow[s.GetId()] = true
+		expected := time.Duration(s.GetExpectedMs()) * time.Millisecond
+		if b, servers := g.serverOf(s.GetId()); b != nil && servers.reported(b, expected, now) {
+			g.log.Info().Str("server", b.ID).Str("service", b.Service).Dur("expected", expected).Str("peer", rc.relay.name).Msg("server is slow, as a peer near it reports")
 		}
 	}
-	if !vouches {
-		return news
+	if !reply.GetVouches() {
+		return
 	}
-	for _, service := range shards {
-		f.group(service).vouch(domain, named, now)
+	for _, servers := range rc.query.groups {
+		servers.vouch(rc.relay.domain, slow, now)
 	}
-	return news
 }
 
 // reported takes in that a server is slow, and returns whether that is news.
 func (g *group) reported(b *backend, latency time.Duration, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i, member := range g.members {
-		if member.leaf == b.leaf {
-			return g.set.Reported(i, latency, now)
-		}
-	}
-	return false
+	i := g.index(b.leaf)
+	return i != replica.None && g.set.Reported(i, latency, now)
 }
 
 // vouch takes in that the servers of a domain are sound but for those named.
@@ -134,12 +129,3 @@
 		}
 	}
 }
-
-// takeReport takes in the report that came with a reply of a relay.
-func (rc *relayCall) takeReport(reply *relaypb.GatherReply, now time.Time) {
-	g := rc.query.gateway
-	news := g.fleet.takeReport(rc.relay.domain, rc.query.entry.Query.Shards, reply.GetSlow(), reply.GetVouches(), now)
-	if len(news) > 0 {
-		g.log.Info().Str("request", rc.query.request.ID).Str("peer", rc.relay.name).Strs("servers", news).Msg("servers are slow, as a peer near them reports")
-	}
-}
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -4,15 +4,19 @@
 	"context"
 	"fmt"
 	"math/bits"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/internal/explain"
 )
 
 // hostsIn returns n hosts of one failure domain.
@@ -192,6 +196,32 @@
 	})
 }
 
+// The line by which a host learned of slow servers once named them all in one
+// field, and the request that brought the news: mallowgap explain found it for no
+// other request.
+func TestReportOfASlowServerExplainsLaterRequests(t *testing.T) {
+	hosts := append(hostsIn("a", 1, "a1", "a"), hostSpec{"relay", "b1", "b"})
+	late := settingsOf(t, hostSpec{"late", "a1", "a"})
+	inWorld(t, shardedConfig(1, 6), serversOf(shardNames(6), "b1"), hosts, func(w *world) {
+		var log strings.Builder
+		w.log = zerolog.New(zerolog.SyncWriter(&log)).With().Timestamp().Str("host", "late").Logger()
+		w.startOn(late, w.store)
+		time.Sleep(vouchAfter)
+		w.leafs.set("shard0@b1", serve("shard0@b1", 300*time.Millisecond))
+		for range 20 {
+			w.ask("a0", "/q/x")
+			w.ask("late", "/q/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		lines, _, err := explain.Read(strings.NewReader(log.String()))
+		assert.NilError(t, err)
+		var story strings.Builder
+		assert.NilError(t, explain.Of(lines, fmt.Sprint("r", w.nextID)).Write(&story))
+		assert.Assert(t, strings.Contains(story.String(), "server is slow, as a peer near it reports"), story.String())
+	})
+}
+
 // expected returns the latency to expect of the server of a service in a domain.
 func (f *fleet) expected(service, domain string) time.Duration {
 	g := f.group(service)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -35,6 +35,8 @@
 	hosts  map[string]*Gateway
 	ctx    context.Context
 	nextID int
+	// log is the log of the gateways that are started; none by default.
+	log zerolog.Logger
 }
 
 // hostSpec names a gateway and where it stands.
@@ -75,7 +77,7 @@
 
 // startOn starts a gateway on a store of its own kind.
 func (w *world) startOn(file *settingspb.Gateway, store Store) *Gateway {
-	g := New(file, Edges{Store: store, Leafs: w.leafs, Peers: w.peers}, zerolog.Nop())
+	g := New(file, Edges{Store: store, Leafs: w.leafs, Peers: w.peers}, w.log)
 	w.peers.add(file.GetListen().GetPeers(), g)
 	w.hosts[file.GetHost().GetName()] = g
 	g.Start(w.ctx)
