--- /dev/null
+++ b/internal/gateway/admit.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mallowgap/mallowgap/admission"
+)
+
+// admit decides before any server is asked whether the servers have room for the
+// request; otherwise it returns the refusal.
+func (q *query) admit(now time.Time) (Answer, bool) {
+	waited := q.gateway.waited(q.entry.Name, q.request.Timeout, now)
+	ask := admission.Ask{Rank: q.rank(), Objective: q.objective, Late: waited > q.objective, Wait: q.serverWait(now)}
+	v := q.groups[0].offer(ask, now)
+	q.trace.wait, q.trace.chance = ask.Wait, v.Chance
+	if v.Admitted {
+		return Answer{}, true
+	}
+	reason := fmt.Sprintf("overloaded: it would wait %v at the servers, with an objective of %v and after %v; let in with a chance of %.2f at rank %d",
+		ask.Wait.Round(time.Millisecond), q.objective, waited, v.Chance, ask.Rank)
+	return notRun(CodeOverloaded, reason, v.RetryAfter), false
+}
+
+// waited infers for how long the caller of a route has waited before this attempt.
+func (g *Gateway) waited(route string, timeout time.Duration, now time.Time) time.Duration {
+	if timeout <= 0 {
+		return 0
+	}
+	g.patienceMu.Lock()
+	defer g.patienceMu.Unlock()
+	p := g.patience[route]
+	if p == nil {
+		p = &admission.Patience{}
+		g.patience[route] = p
+	}
+	return p.Waited(timeout, now)
+}
+
+// serverWait estimates how long the request would wait at the servers: the wait
+// within which as many shards as an answer needs have a server.
+func (q *query) serverWait(now time.Time) time.Duration {
+	waits := make([]time.Duration, 0, len(q.groups))
+	for _, g := range q.groups {
+		waits = append(waits, g.leastWait(now))
+	}
+	slices.Sort(waits)
+	needed := len(waits)
+	if q.entry.Query != nil {
+		needed = int(math.Ceil(q.entry.Query.MinShare * float64(len(waits))))
+	}
+	return waits[max(needed, 1)-1]
+}
+
+// offer asks the gate of the service about a request.
+func (g *group) offer(ask admission.Ask, now time.Time) admission.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Offer(ask, now)
+}
+
+// leastWait estimates how long a request would wait at the server where it waits
+// least.
+func (g *group) leastWait(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.set.LeastWait(now)
+}
+
+// noteCost tells the gate what a request of this rank costs.
+func (q *query) noteCost(r result) {
+	if r.ran <= 0 {
+		return
+	}
+	g := q.groups[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Ran(q.rank(), r.ran)
+}
+
+// rank is the rank of the request's class; 0 is the highest.
+func (q *query) rank() uint32 { return uint32(max(q.entry.Priority, 0)) }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -58,6 +58,8 @@
 	CodeNoTime Code = "no_time"
 	// CodeNoServer: no server of the service is in service.
 	CodeNoServer Code = "no_server"
+	// CodeOverloaded: the request would wait too long at the servers.
+	CodeOverloaded Code = "overloaded"
 	// CodeBusy: all servers of the service are busy.
 	CodeBusy Code = "busy"
 	// CodeRefused: servers refused the request.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,7 +73,7 @@
 		return attempt{}, false
 	}
 	if kind != firstAttempt && !q.takeBudget(g, kind, now) {
-		c.end(callNoEvidence, 0, now)
+		c.drop()
 		countDenied(kind)
 		q.trace.denied++
 		q.state.Later(need.Shard, now.Add(deniedRetry))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -295,9 +295,9 @@
 	if v.ready != previous.ready {
 		c.log.Info().Bool("ready", v.ready).Bool("stopping", c.stopping).Msg("readiness changed")
 	}
-	conns := func(s discovery.Server) int { return v.conns(s, c.relays) }
-	c.fleet.update(c.registry.Servers(), conns, now)
-	c.fleet.setShares(conns)
+	shares := func(s discovery.Server) share { return v.share(s, c.relays) }
+	c.fleet.update(c.registry.Servers(), shares, now)
+	c.fleet.setShares(shares)
 	c.current.Store(v)
 	if v.known && !previous.known {
 		close(c.started)
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -42,6 +42,16 @@
 	Body   []byte
 	// Signature proves that the server ran the request.
 	Signature string
+	// Load is what the server tells of itself.
+	Load Load
+}
+
+// Load is what a server tells of its load with an answer.
+type Load struct {
+	// Known tells that the server told it.
+	Known bool
+	// Running and Waiting are the numbers of requests that run and wait.
+	Running, Waiting int
 }
 
 // OK reports whether the server served the request.
@@ -54,7 +64,9 @@
 	// Moved tells that the address now belongs to another server.
 	Moved  bool
 	Reason string
-	Err    error
+	// Load is what the server told of itself when it refused.
+	Load Load
+	Err  error
 }
 
 // Error gives the reason.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/limit"
 	"github.com/mallowgap/mallowgap/replica"
@@ -57,6 +58,8 @@
 	set     *replica.Set
 	members []*backend
 	window  *retry.Window
+	// gate decides about the requests of which this is the first service.
+	gate *admission.Gate
 	// calls is the time of calls to the servers.
 	calls *metrics.Histogram
 }
@@ -107,16 +110,18 @@
 func (f *fleet) groupLocked(service string) *group {
 	g := f.groups[service]
 	if g == nil {
-		g = &group{service: service, set: newSet(nil), window: retry.NewWindow(f.window), calls: callHistogram(service)}
+		g = &group{service: service, set: newSet(nil), gate: admission.NewGate(newRNG()), window: retry.NewWindow(f.window), calls: callHistogram(service)}
 		f.groups[service] = g
 	}
 	return g
 }
 
 func newSet(leaves []*replica.Leaf) *replica.Set {
-	return replica.NewSet(leaves, replica.Observed, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return replica.NewSet(leaves, replica.Observed, newRNG())
 }
 
+func newRNG() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // server returns a server by its identifier, or nil.
 func (f *fleet) server(id string) *backend {
 	f.mu.RLock()
@@ -124,16 +129,16 @@
 	return f.byID[id]
 }
 
-// update takes the servers now registered. conns gives the connections that
-// this host may open to a server.
-func (f *fleet) update(servers []discovery.Server, conns func(discovery.Server) int, now time.Time) {
+// update takes the servers now registered. shares gives this host's part
+// of a server.
+func (f *fleet) update(servers []discovery.Server, shares func(discovery.Server) share, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	previous := f.byID
 	f.byID = make(map[string]*backend, len(servers))
 	members := map[string][]*backend{}
 	for _, s := range servers {
-		b := adopt(previous[s.ID], s, f.location, conns(s), now)
+		b := adopt(previous[s.ID], s, f.location, shares(s), now)
 		f.byID[s.ID] = b
 		if s.Draining {
 			b.retire(f.groupLocked(s.Service))
@@ -155,12 +160,12 @@
 }
 
 // adopt returns the backend for a registration, keeping what was observed.
-func adopt(old *backend, s discovery.Server, p location, conns int, now time.Time) *backend {
+func adopt(old *backend, s discovery.Server, p location, own share, now time.Time) *backend {
 	b := &backend{Server: s, region: p.regions[s.Domain]}
 	if old != nil {
 		b.leaf = old.leaf
 	} else {
-		b.leaf = &replica.Leaf{Address: s.Address, Domain: s.Domain, Slots: limit.NewSlots(conns), Distance: p.distance(s.Domain), Parallel: max(s.Slots, 1)}
+		b.leaf = &replica.Leaf{Address: s.Address, Domain: s.Domain, Slots: limit.NewSlots(own.conns), Sharers: own.hosts, Distance: p.distance(s.Domain), Parallel: max(s.Slots, 1)}
 		if s.Cold > 0 {
 			b.leaf.Slots.Restarted(now)
 		}
@@ -201,19 +206,21 @@
 	return true
 }
 
-// setShares changes how many connections this host may open to each server.
-func (f *fleet) setShares(conns func(discovery.Server) int) {
+// setShares changes this host's part of each server.
+func (f *fleet) setShares(shares func(discovery.Server) share) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, g := range f.groups {
-		g.setShares(conns)
+		g.setShares(shares)
 	}
 }
 
-func (g *group) setShares(conns func(discovery.Server) int) {
+func (g *group) setShares(shares func(discovery.Server) share) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.members {
-		b.leaf.Slots.SetShare(conns(b.Server))
+		own := shares(b.Server)
+		b.leaf.Slots.SetShare(own.conns)
+		b.leaf.Sharers = own.hosts
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/api/settingspb"
 	"github.com/mallowgap/mallowgap/discovery"
@@ -39,6 +40,9 @@
 	peers    *peerHealth
 	reports  *reports
 	packer   entryPacker
+	// patience tells by route for how long callers wait.
+	patienceMu sync.Mutex
+	patience   map[string]*admission.Patience
 
 	// loaded, followed and heldOff belong to the goroutine that follows the store.
 	loaded   bool
@@ -71,6 +75,7 @@
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		peers:    newPeerHealth(),
 		reports:  newReports(f),
+		patience: map[string]*admission.Patience{},
 		heldOff:  map[string]time.Time{},
 		started:  time.Now(),
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -289,9 +289,9 @@
 		server := discovery.Server{Service: "shard0", Domain: "a1"}
 		hosts := len(v.relays("a1", 3))
 		assert.Equal(t, hosts, 2)
-		assert.Assert(t, 2*hosts*v.conns(server, 3) <= 26, "%d connections a host", v.conns(server, 3))
+		assert.Assert(t, 2*hosts*v.share(server, 3).conns <= 26, "%d connections a host", v.share(server, 3).conns)
 		single := discovery.Server{Service: "single", Domain: "a1"}
-		assert.Assert(t, 2*len(w.hosts)*v.conns(single, 3) <= 60, "every host calls it: %d connections a host", v.conns(single, 3))
+		assert.Assert(t, 2*len(w.hosts)*v.share(single, 3).conns <= 60, "every host calls it: %d connections a host", v.share(single, 3).conns)
 	})
 }
 
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -54,6 +54,19 @@
 	return &call{group: g, backend: g.members[i], started: now}, nil
 }
 
+// take takes a slot on one given server.
+func (g *group) take(b *backend, now time.Time) (*call, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b.leaf.Leaving {
+		return nil, errNoServer
+	}
+	if !b.leaf.Slots.Acquire(now) {
+		return nil, errNoSlot
+	}
+	return &call{group: g, backend: b, started: now}, nil
+}
+
 // pickFar picks among the servers of one far region where none is nearer,
 // unless another far server is expected to answer much sooner.
 func (g *group) pickFar(now time.Time, region string, exclude uint64) int {
@@ -90,19 +103,6 @@
 	return false
 }
 
-// take takes a slot on one given server.
-func (g *group) take(b *backend, now time.Time) (*call, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if b.leaf.Leaving {
-		return nil, errNoServer
-	}
-	if !b.leaf.Slots.Acquire(now) {
-		return nil, errNoSlot
-	}
-	return &call{group: g, backend: b, started: now}, nil
-}
-
 func (g *group) mask(ids []string) uint64 {
 	var mask uint64
 	for i, b := range g.members {
@@ -122,32 +122,52 @@
 	return len(g.members)
 }
 
-// end gives the slot back and notes what became of the call. It reports
-// whether the server was ejected for it.
-func (c *call) end(result callResult, elapsed time.Duration, now time.Time) bool {
+// callEnd is what became of a call.
+type callEnd struct {
+	result callResult
+	// elapsed is the time of the call, seen from here.
+	elapsed time.Duration
+	// atServer is the time of the call seen from the host that made it.
+	atServer time.Duration
+	load     Load
+}
+
+// end gives the slot back and notes what became of the call. It returns how long
+// the request ran, where that is known, and whether the server was ejected.
+func (c *call) end(e callEnd, now time.Time) (ran time.Duration, ejected bool) {
 	g := c.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	leaf := c.backend.leaf
-	leaf.Slots.Release()
-	if result == callMoved {
+	if e.result == callMoved {
 		leaf.Leaving = true
 	}
+	leaf.Slots.Release()
 	i := g.index(leaf)
 	if i == replica.None {
-		return false
+		return 0, false
 	}
-	switch result {
+	if e.load.Known {
+		ran = g.set.Queued(i, e.load.Waiting, e.atServer, now)
+	}
+	switch e.result {
 	case callServed:
-		g.set.Answered(i, elapsed, now)
+		g.set.Answered(i, e.elapsed, now)
 	case callShed:
 		g.set.Refused(i, now)
 	case callCut:
-		g.set.CutShort(i, elapsed, now)
+		g.set.CutShort(i, e.elapsed, now)
 	case callFailed:
-		return g.set.Failed(i, now)
+		ejected = g.set.Failed(i, now)
 	}
-	return false
+	return ran, ejected
+}
+
+// drop gives the slot back of a call that was not made.
+func (c *call) drop() {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.backend.leaf.Slots.Release()
 }
 
 // index returns the place of a server among the members, or None where it is no
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -96,6 +96,10 @@
 	server    string
 	reason    string
 	elapsed   time.Duration
+	// load is what the server told of its load, ran how long the request ran there
+	// without its wait; 0 is unknown.
+	load Load
+	ran  time.Duration
 }
 
 // run makes attempts until the request is answered or its time is up.
@@ -193,6 +197,7 @@
 			block.Shards = append(block.Shards, r.shard)
 			block.Signatures = append(block.Signatures, r.signature)
 			q.keep(r)
+			q.noteCost(r)
 		case relaypb.Outcome_NOT_RUN, relaypb.Outcome_NOT_SENT:
 			q.takeRefusal(r)
 		default:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -88,7 +88,7 @@
 	r := one.result
 	result := &relaypb.CallResult{
 		Index: uint32(one.index), Outcome: r.outcome, Signature: r.signature,
-		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason,
+		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
 	}
 	w.results = append(w.results, result)
 	if r.outcome == relaypb.Outcome_PART {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -42,6 +42,10 @@
 type trace struct {
 	first, retries, hedges, denied int
 	relayed                        int
+	// wait is how long a request was expected to wait at the servers, chance that
+	// with which it was let in for that.
+	wait   time.Duration
+	chance float64
 	// limit is for how long the request could be worked on.
 	limit time.Duration
 	// servers are those that were sent a request that is not a query.
@@ -102,6 +106,9 @@
 	if a.Outcome == Gathered {
 		e = e.Int("parts", len(a.Gathered.Signatures)).Int("missing", a.Gathered.Missing)
 	}
+	if t.wait > 0 {
+		e = e.Dur("expected_wait", t.wait).Float64("chance", t.chance)
+	}
 	if t.limit > 0 {
 		e = e.Dur("limit", t.limit)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -39,7 +39,9 @@
 	out := result{server: c.backend.ID, elapsed: elapsed}
 	c.group.calls.Update(elapsed.Seconds())
 	evidence := classify(&out, reply, err, ctx.Err() != nil)
-	if c.end(evidence, elapsed, now) {
+	ran, ejected := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load}, now)
+	out.ran = ran
+	if ejected {
 		g.log.Info().Str("server", c.backend.ID).Str("service", c.backend.Service).Str("reason", out.reason).Msg("server ejected after failures in a row")
 	}
 	if evidence == callMoved {
@@ -49,6 +51,15 @@
 	return out
 }
 
+// workTime is the time that a call says something about the work of its server:
+// none where the server did not run it.
+func workTime(r result, elapsed time.Duration) time.Duration {
+	if r.outcome != relaypb.Outcome_PART {
+		return 0
+	}
+	return elapsed
+}
+
 // errUnsigned says that a success lacks the proof that the server ran the
 // request.
 var errUnsigned = errors.New("the server's success has no signature")
@@ -59,6 +70,9 @@
 	if err == nil && reply.OK() && reply.Signature == "" {
 		err = errUnsigned
 	}
+	if err == nil {
+		out.load = reply.Load
+	}
 	if err == nil && reply.OK() {
 		out.outcome = relaypb.Outcome_PART
 		out.signature = reply.Signature
@@ -87,6 +101,7 @@
 }
 
 func classifyNotRun(out *result, refused *NotRunError, cut bool) callResult {
+	out.load = refused.Load
 	if refused.Arrived {
 		out.outcome = relaypb.Outcome_NOT_RUN
 		if refused.Moved {
@@ -220,11 +235,13 @@
 	case relaypb.Outcome_NOT_SENT:
 		evidence = callNoEvidence
 	}
-	a.call.end(evidence, elapsed, now)
+	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
+	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting())}
+	out.ran, _ = a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load}, now)
 	if evidence == callServed {
 		name := rc.query.entry.Name
 		rc.query.gateway.latency.observe(latencyKey{name, true}, elapsed)
-		rc.query.gateway.latency.observe(latencyKey{name, false}, time.Duration(r.GetElapsedUs())*time.Microsecond)
+		rc.query.gateway.latency.observe(latencyKey{name, false}, atServer)
 	}
 	countAttempt(a.kind, r.GetOutcome())
 	return out
@@ -244,7 +261,7 @@
 		if cut {
 			evidence = callCut
 		}
-		a.call.end(evidence, now.Sub(a.call.started), now)
+		a.call.end(callEnd{result: evidence, elapsed: now.Sub(a.call.started)}, now)
 		out := result{shard: a.shard, outcome: relaypb.Outcome_FAILED, server: a.call.backend.ID, reason: "the relay ended the call without a result", elapsed: now.Sub(a.call.started)}
 		if err != nil {
 			out.reason = err.Error()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -105,6 +105,9 @@
 	if !p.anyServer() {
 		return notRun(CodeNoServer, errNoServer.Error(), p.retryAfter())
 	}
+	if refused, ok := p.admit(time.Now()); !ok {
+		return refused
+	}
 	return p.finish(p.run(ctx))
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -116,21 +116,29 @@
 	return strings.Compare(a.name, b.name)
 }
 
-// conns returns how many connections this host may open to a server: a part of
-// those that the server accepts, divided by the hosts that call it. Those are
-// the relays of its domain for a shard, and all hosts for other services.
-func (v *view) conns(s discovery.Server, relaysPerDomain int) int {
+// share is a host's part of a server.
+type share struct {
+	// conns is the number of connections that the host may open.
+	conns int
+	// hosts is the number of hosts that call the server.
+	hosts int
+}
+
+// share returns this host's part of a server. Of the connections that the server
+// accepts a part is divided by the hosts that call it: those are the relays of its
+// domain for a shard, and all hosts for other services.
+func (v *view) share(s discovery.Server, relaysPerDomain int) share {
 	if v.table == nil {
-		return defaultConns
+		return share{conns: defaultConns, hosts: 1}
+	}
+	hosts := v.count
+	if v.table.IsShard(s.Service) {
+		hosts = len(v.relays(s.Domain, relaysPerDomain))
 	}
+	hosts = max(hosts, 1)
 	cap := v.table.Service(s.Service).MaxConns
 	if cap <= 0 {
-		return defaultConns
-	}
-	sharers := v.count
-	if v.table.IsShard(s.Service) {
-		sharers = len(v.relays(s.Domain, relaysPerDomain))
+		return share{conns: defaultConns, hosts: hosts}
 	}
-	sharers = max(sharers, 1)
-	return max(int(connShare*float64(cap))/sharers, 1)
+	return share{conns: max(int(connShare*float64(cap))/hosts, 1), hosts: hosts}
 }
--- a/replica/set.go
+++ b/replica/set.go
@@ -41,6 +41,8 @@
 	// Leaving forbids new requests.
 	Leaving bool
 	Slots   limit.Slots
+	// Sharers is the number of hosts that send requests to the leaf; 0 is 1.
+	Sharers int
 	// Distance is added to the latency when replicas are compared: what a call
 	// over the way to the leaf costs beside its time.
 	Distance time.Duration
@@ -60,6 +62,11 @@
 	// answered is when the leaf last answered, observed when anything was last
 	// observed of it.
 	answered, observed time.Time
+	// queue is the number of requests that waited at the leaf when it last told, at
+	// queueAt; work is the smoothed time that it takes for one.
+	queue   int
+	queueAt time.Time
+	work    time.Duration
 	// reported is what another host says of the latency, until reportedUntil.
 	reported      time.Duration
 	reportedUntil time.Time
@@ -226,9 +233,11 @@
 	return true
 }
 
+// cost is what a request to a leaf is expected to cost, in time.
 func (s *Set) cost(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	parallel := max(leaf.Parallel, 1)
 	again := time.Duration(leaf.refused * float64(refusalCost))
-	return (s.Expected(i, now) + leaf.Distance + again) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
+	run := s.runTime(i, now) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
+	return run + leaf.Distance + again + s.othersWait(i, now)
 }
--- /dev/null
+++ b/replica/wait.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// queueHalfLife is the time after which half of a queue that a leaf told of is
+	// taken to be gone: a few times the pause between two calls of one host to it
+	// while the servers are busy, so that the queue is not forgotten between them.
+	queueHalfLife = 150 * time.Millisecond
+	// queueForgotten is the age from which a report is of no use.
+	queueForgotten = 8 * queueHalfLife
+	// workSmoothing is the weight of a new sample of the work of a request.
+	workSmoothing = 0.1
+)
+
+// Queued takes in that a leaf told of a queue of waiting requests with an answer
+// that took elapsed there, and returns how long the request ran. 0 for elapsed
+// says nothing about its work.
+func (s *Set) Queued(i, waiting int, elapsed time.Duration, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	leaf.queue = waiting
+	leaf.queueAt = now
+	if elapsed <= 0 {
+		return 0
+	}
+	parallel := max(leaf.Parallel, 1)
+	sample := elapsed * time.Duration(parallel) / time.Duration(parallel+waiting)
+	if leaf.work == 0 {
+		leaf.work = sample
+	}
+	leaf.work += time.Duration(workSmoothing * float64(sample-leaf.work))
+	return sample
+}
+
+// Wait estimates how long a request would wait at a leaf before it runs: for the
+// queue that the leaf last told of, or for the requests of this host where these
+// are more. Where this host has no slot left the others are taken to have none.
+func (s *Set) Wait(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	ahead := max(leaf.told(now), leaf.own())
+	if !leaf.Slots.Free(now) {
+		ahead = max(ahead, float64(leaf.Slots.InUse()*max(leaf.Sharers, 1)-max(leaf.Parallel, 1)))
+	}
+	return leaf.inTurn(ahead)
+}
+
+// othersWait is the part of the wait that the requests of other hosts make.
+func (s *Set) othersWait(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	return leaf.inTurn(max(leaf.told(now)-leaf.own(), 0))
+}
+
+// runTime is how long a request is expected to run at a leaf, without its wait
+// where the leaf tells its load. A leaf that makes no progress is as slow as its
+// silence is long.
+func (s *Set) runTime(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	if leaf.work == 0 {
+		return s.Expected(i, now)
+	}
+	run := leaf.work * time.Duration(1+leaf.cuts)
+	if now.Before(leaf.reportedUntil) {
+		run = max(run, leaf.reported)
+	}
+	if leaf.Slots.InUse() > 0 {
+		run = max(run, now.Sub(leaf.progress))
+	}
+	return run
+}
+
+// told is the queue that the leaf last told of, as far as it is taken to be there
+// still.
+func (l *Leaf) told(now time.Time) float64 {
+	age := now.Sub(l.queueAt)
+	if l.queue == 0 || age > queueForgotten {
+		return 0
+	}
+	return float64(l.queue) * math.Exp2(-float64(age)/float64(queueHalfLife))
+}
+
+// own is the number of this host's requests that the leaf cannot run at once.
+func (l *Leaf) own() float64 {
+	return float64(max(l.Slots.InUse()-max(l.Parallel, 1), 0))
+}
+
+// inTurn is the time after which a request runs that has others before it.
+func (l *Leaf) inTurn(ahead float64) time.Duration {
+	return time.Duration(ahead * float64(l.work) / float64(max(l.Parallel, 1)))
+}
+
+// LeastWait estimates how long a request would wait at the leaf where it waits
+// least, of those that may be used.
+func (s *Set) LeastWait(now time.Time) time.Duration {
+	least := time.Duration(-1)
+	for i := range s.Leaves {
+		if !s.usable(i, now, 0) {
+			continue
+		}
+		if wait := s.Wait(i, now); least < 0 || wait < least {
+			least = wait
+		}
+	}
+	return max(least, 0)
+}
