--- a/admission/gate.go
+++ b/admission/gate.go
@@ -38,6 +38,8 @@
 	workLife = time.Second
 	// costSmoothing is the weight of a new sample of the cost of a request.
 	costSmoothing = 0.05
+	// overloadedShare is the share of the work refused from which it is an overload.
+	overloadedShare = 0.05
 	// overloadGap is the time without a refusal after which an overload is over.
 	overloadGap = time.Second
 	// leastReturn is the earliest return of a caller, as a share of the objective:
@@ -216,6 +218,10 @@
 	return floorChance
 }
 
+// Overloaded reports whether so much is refused that copies of requests would only
+// take the place of others.
+func (g *Gate) Overloaded() bool { return g.refuse > overloadedShare }
+
 // retryAfter returns when a caller should come back. An overload of unknown end
 // is expected to last as long again as it has lasted; the returns are spread over
 // that time, and those of lower ranks come after.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -69,6 +69,14 @@
 	return g.set.LeastWait(now)
 }
 
+// overloaded reports whether requests are refused for want of room.
+func (q *query) overloaded() bool {
+	g := q.groups[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Overloaded()
+}
+
 // noteCost tells the gate what a request of this rank costs.
 func (q *query) noteCost(r result) {
 	if r.ran <= 0 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,6 +103,9 @@
 	s := q.gateway.settings.GetRetry()
 	hosts := float64(max(q.view.count, 1))
 	part := 1.0
+	if kind == hedgeAttempt && q.overloaded() {
+		return false
+	}
 	if kind == hedgeAttempt {
 		part = hedgePart
 	}
