A host whose store compacted its history does not take it for lost

Cause: a host that follows one cut from the store asks the store itself with a watch. After a compaction the watch is answered with 'history gone' for good; that was taken for a store that is lost here too, so the host kept an old configuration until the other host regained the store (6 s). Ruled out: connections that went silent (new calls reached the store), load. Change: that answer means that the store answers; everything is read again. The fake store now forgets for good, as the real one does, instead of once.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -149,7 +149,12 @@
 		return nil
 	}
 	*next = now.Add(probeEvery/2 + rand.N(probeEvery))
-	if err := g.watch(ctx, probeWait, g.settings.GetStore().GetWatchSlack().AsDuration()); err != nil {
+	err := g.watch(ctx, probeWait, g.settings.GetStore().GetWatchSlack().AsDuration())
+	if errors.Is(err, ErrCompacted) {
+		g.loaded = false // The store answers, but must be read again.
+		return errLeaderCut
+	}
+	if err != nil {
 		return nil // The store is lost here too; what is known stays in force.
 	}
 	return errLeaderCut
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -281,6 +281,37 @@
 	}
 }
 
+// A host that followed one cut from the store asked the store itself, was told that
+// its history was gone, and took that for a store that is lost here too: it kept an
+// old configuration for as long as the other host was cut.
+func TestFollowerOfACutLeaderLearnsAfterACompaction(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneRegion, func(w *world) {
+		for _, name := range []string{"host1", "host2", "host3"} {
+			w.hosts[name].edges.Store.(*partedStore).parted.Store(true)
+		}
+		follower := w.hosts["host4"]
+		follower.edges.Store.(*partedStore).parted.Store(true)
+		time.Sleep(3 * time.Second)
+		w.store.putConfig(shardedConfig(2, 1))
+		w.store.forget()
+		follower.edges.Store.(*partedStore).parted.Store(false)
+		took := waitUntil(w, 10*time.Second, func() bool {
+			table := follower.control.view().table
+			return table != nil && table.Version() == 2
+		})
+		assert.Assert(t, took < 4*time.Second, "%v", took)
+	})
+}
+
+// waitUntil returns how long it took until a condition held, or most.
+func waitUntil(w *world, most time.Duration, holds func() bool) time.Duration {
+	start := time.Now()
+	for time.Since(start) < most && !holds() {
+		sleep(w.ctx, 10*time.Millisecond)
+	}
+	return time.Since(start)
+}
+
 // After a power loss a server still counts the connections of the gateways
 // that vanished. On the bench servers reset 7,075 connections over their limit.
 func TestConnectionsLeaveRoomForARestart(t *testing.T) {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -344,8 +344,9 @@
 	events   []Entry
 	changed  chan struct{}
 	down     bool
-	compact  bool
-	leases   map[uint64]string
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
+	leases    map[uint64]string
 	// calls counts reads and watches.
 	calls atomic.Int64
 }
@@ -420,11 +421,11 @@
 	s.changed = make(chan struct{})
 }
 
-// forget drops the history once, so that a watch must read again.
+// forget drops the history: who watches from an earlier revision must read again.
 func (s *fakeStore) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compact = true
+	s.compacted = s.revision
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -450,8 +451,7 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		changed, down, compact := s.changed, s.down, s.compact
-		s.compact = false
+		changed, down, compacted := s.changed, s.down, after < s.compacted
 		r := Reading{Revision: s.revision}
 		for _, e := range s.events {
 			if e.Revision > after {
@@ -462,7 +462,7 @@
 		switch {
 		case down:
 			return Reading{}, errStoreDown
-		case compact:
+		case compacted:
 			return Reading{}, ErrCompacted
 		case len(r.Entries) > 0:
 			return r, nil
