Relays tell refusals at once

Change: refusals are collected for 1 ms and told by themselves. Kept: a request that can be tried elsewhere is not held back.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,6 +16,10 @@
 	// leastReplyGap is the least time between two replies, so that parts that
 	// come close together are merged.
 	leastReplyGap = 4 * time.Millisecond
+	// refusalGap is for how long the calls that brought nothing are collected before
+	// they are told. The other host can try another server at once: told with the
+	// parts they came after the soft timeout, a third of the objective later.
+	refusalGap = time.Millisecond
 )
 
 // Gather implements the relay protocol: it calls the servers named and merges
@@ -41,10 +45,21 @@
 	wait := time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond
 	soft := time.NewTimer(wait)
 	defer soft.Stop()
+	var refusals <-chan time.Time
 	for gathered.open > 0 {
 		select {
 		case one := <-results:
 			all = append(all, gathered.add(one))
+			if len(gathered.refused) == 1 {
+				refusals = time.After(refusalGap)
+			}
+		case <-refusals:
+			if len(gathered.refused) == 0 {
+				continue
+			}
+			if err := stream.Send(g.withReport(gathered.flushRefused())); err != nil {
+				return err
+			}
 		case <-soft.C:
 			soft.Reset(max(wait/laterReplies, leastReplyGap))
 			if len(gathered.results) == 0 || gathered.open == 0 {
@@ -80,6 +95,8 @@
 	// packs tells that the receiver understands packed lists.
 	packs   bool
 	results []*relaypb.CallResult
+	// refused are the results of calls that brought no part.
+	refused []*relaypb.CallResult
 	parts   [][]byte
 }
 
@@ -90,21 +107,31 @@
 		Index: uint32(one.index), Outcome: r.outcome, Signature: r.signature,
 		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
 	}
-	w.results = append(w.results, result)
-	if r.outcome == relaypb.Outcome_PART {
-		w.parts = append(w.parts, r.reply.Body)
+	if r.outcome != relaypb.Outcome_PART {
+		w.refused = append(w.refused, result)
+		return result
 	}
+	w.results = append(w.results, result)
+	w.parts = append(w.parts, r.reply.Body)
 	return result
 }
 
+// flushRefused returns the calls that brought nothing since the last flush.
+func (w *gathering) flushRefused() *relaypb.GatherReply {
+	reply := &relaypb.GatherReply{Results: w.refused}
+	w.refused = nil
+	return reply
+}
+
 // flush returns what was gathered since the last flush.
 func (w *gathering) flush(last bool) *relaypb.GatherReply {
 	records, floor := w.trimmer.Batch(w.parts...)
-	reply := &relaypb.GatherReply{Results: w.results, Records: records, Floor: floor, Last: last}
+	reply := &relaypb.GatherReply{Results: append(w.results, w.refused...), Records: records, Floor: floor, Last: last}
 	if w.packs {
 		packReply(reply)
 	}
 	w.results = nil
+	w.refused = nil
 	w.parts = nil
 	return reply
 }
