Queues that servers told of are remembered as long as the gaps between reports

Cause: on 62 hosts a host hears of one server every half second; with a fixed half life of 150 ms the queue was forgotten, and of three servers of a shard the one not heard of longest seemed empty. Change: the half life is twice the usual gap between reports of a server, 150 ms at least.

--- a/replica/set.go
+++ b/replica/set.go
@@ -63,10 +63,12 @@
 	// observed of it.
 	answered, observed time.Time
 	// queue is the number of requests that waited at the leaf when it last told, at
-	// queueAt; work is the smoothed time that it takes for one.
-	queue   int
-	queueAt time.Time
-	work    time.Duration
+	// queueAt; queueGap is the smoothed gap between two reports.
+	queue    int
+	queueAt  time.Time
+	queueGap time.Duration
+	// work is the smoothed time that the leaf takes for a request, without its wait.
+	work time.Duration
 	// reported is what another host says of the latency, until reportedUntil.
 	reported      time.Duration
 	reportedUntil time.Time
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -7,11 +7,15 @@
 
 const (
 	// queueHalfLife is the time after which half of a queue that a leaf told of is
-	// taken to be gone: a few times the pause between two calls of one host to it
-	// while the servers are busy, so that the queue is not forgotten between them.
+	// taken to be gone. Where a host calls the leaf more rarely it is as many times
+	// the usual gap between two reports as halfLifeGaps says, so that the queue is not
+	// forgotten between them.
 	queueHalfLife = 150 * time.Millisecond
-	// queueForgotten is the age from which a report is of no use.
-	queueForgotten = 8 * queueHalfLife
+	halfLifeGaps  = 2
+	// gapSmoothing is the weight of a new sample of that gap, longestGap the longest
+	// that counts.
+	gapSmoothing = 0.2
+	longestGap   = 2 * time.Second
 	// workSmoothing is the weight of a new sample of the work of a request.
 	workSmoothing = 0.1
 )
@@ -21,6 +25,9 @@
 // says nothing about its work.
 func (s *Set) Queued(i, waiting int, elapsed time.Duration, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
+	if !leaf.queueAt.IsZero() {
+		leaf.queueGap += time.Duration(gapSmoothing * float64(min(now.Sub(leaf.queueAt), longestGap)-leaf.queueGap))
+	}
 	leaf.queue = waiting
 	leaf.queueAt = now
 	if elapsed <= 0 {
@@ -74,11 +81,11 @@
 // told is the queue that the leaf last told of, as far as it is taken to be there
 // still.
 func (l *Leaf) told(now time.Time) float64 {
-	age := now.Sub(l.queueAt)
-	if l.queue == 0 || age > queueForgotten {
+	if l.queue == 0 {
 		return 0
 	}
-	return float64(l.queue) * math.Exp2(-float64(age)/float64(queueHalfLife))
+	halfLife := max(queueHalfLife, halfLifeGaps*l.queueGap)
+	return float64(l.queue) * math.Exp2(-float64(now.Sub(l.queueAt))/float64(halfLife))
 }
 
 // own is the number of this host's requests that the leaf cannot run at once.
