--- a/admission/gate.go
+++ b/admission/gate.go
@@ -25,12 +25,19 @@
 	gainGap = 100 * time.Millisecond
 	// longestStep bounds the time that one change of the share stands for.
 	longestStep = 250 * time.Millisecond
-	// emptyLife is the time in which the share falls to a third while nothing waits.
-	emptyLife = 200 * time.Millisecond
-	// floorChance is the chance that a lower rank keeps, so that it is not starved:
-	// 2 in 100 of the room where its requests are a third as long and a third as
-	// many as those above it.
-	floorChance = 0.1
+	// leastTarget bounds that wait where an objective is odd.
+	leastTarget = time.Millisecond
+	// leak is the part of the share that is let go each second. Hosts that have come
+	// to different shares come together, as who refuses more lets more go; the wait
+	// settles a little above its target for it.
+	leak = 0.25
+	// shortWait is the wait, in targets, below which the servers have room; the share
+	// then falls to a third in shortLife.
+	shortWait = 0.25
+	shortLife = 200 * time.Millisecond
+	// floorShare is the share of the admitted work that each lower rank keeps, so
+	// that it is not starved.
+	floorShare = 0.03
 	// rankLife is for how long a rank counts after its last request.
 	rankLife = 5 * time.Second
 	// workLife is the time in which work that was offered falls to a third of its
@@ -45,11 +52,13 @@
 	// leastReturn is the earliest return of a caller, as a share of the objective:
 	// one that is refused in a short overload may still be served in time.
 	leastReturn = 0.5
-	// longestReturn bounds the time after which a caller is asked to come back.
-	longestReturn = 5 * time.Second
+	// longestReturn bounds that time for the highest rank, before it is spread.
+	longestReturn = 2500 * time.Millisecond
 	// rankReturn is by how much later each lower rank is asked to come back, as a
 	// share of the time of the rank above it.
+	// laterRanks bounds the ranks for which that grows.
 	rankReturn = 0.5
+	laterRanks = 3
 )
 
 // Gate decides, when a request arrives, whether the servers have room for it. It
@@ -176,13 +185,15 @@
 
 // adjust moves the share that is refused by the wait that is seen now.
 func (g *Gate) adjust(wait time.Duration, now time.Time) {
-	w := float64(wait) / (targetShare * float64(g.ranks[0].objective))
+	target := max(targetShare*float64(g.ranks[0].objective), float64(leastTarget))
+	w := float64(wait) / target
 	step := min(now.Sub(g.at), longestStep)
 	g.gap += time.Duration(costSmoothing * float64(min(now.Sub(g.at), rankLife)-g.gap))
 	gain := min(1, float64(gainGap)/float64(max(g.gap, 1)))
 	g.refuse += gain * (integralGain*step.Seconds()*(w-1) + proportionalGain*(w-g.wait))
-	if wait == 0 {
-		g.refuse *= math.Exp(-float64(step) / float64(emptyLife))
+	g.refuse -= leak * step.Seconds() * g.refuse
+	if w < shortWait {
+		g.refuse *= math.Exp(-float64(step) / float64(shortLife))
 	}
 	g.refuse = min(max(g.refuse, 0), 1)
 	g.wait, g.at = w, now
@@ -192,10 +203,7 @@
 // what is refused is taken from the lowest rank first, and of each but the highest
 // all except its floor.
 func (g *Gate) chance(index int) float64 {
-	total := 0.0
-	for _, r := range g.ranks {
-		total += r.work
-	}
+	total := g.offered()
 	left := g.refuse * total
 	for i := len(g.ranks) - 1; i > index; i-- {
 		left -= (1 - g.floor(i)) * g.ranks[i].work
@@ -203,19 +211,28 @@
 	if left <= 0 {
 		return 1
 	}
-	floor := g.floor(index)
 	if g.ranks[index].work == 0 {
 		return 1 // Nothing is known of the cost yet.
 	}
-	return max(floor, 1-left/g.ranks[index].work)
+	return max(g.floor(index), 1-left/g.ranks[index].work)
+}
+
+// offered is the work that was offered of late.
+func (g *Gate) offered() float64 {
+	total := 0.0
+	for _, r := range g.ranks {
+		total += r.work
+	}
+	return total
 }
 
 // floor is the chance that the index-th rank keeps whatever is refused.
 func (g *Gate) floor(index int) float64 {
-	if index == 0 || g.ranks[index].late {
+	r := g.ranks[index]
+	if index == 0 || r.late || r.work == 0 {
 		return 0
 	}
-	return floorChance
+	return min(1, floorShare*(1-g.refuse)*g.offered()/r.work)
 }
 
 // Overloaded reports whether so much is refused that copies of requests would only
@@ -226,9 +243,8 @@
 // is expected to last as long again as it has lasted; the returns are spread over
 // that time, and those of lower ranks come after.
 func (g *Gate) retryAfter(ask Ask, index int, now time.Time) time.Duration {
-	least := time.Duration(leastReturn * float64(ask.Objective))
-	wait := max(now.Sub(g.since), least)
+	least := max(time.Duration(leastReturn*float64(ask.Objective)), leastTarget)
+	wait := min(max(now.Sub(g.since), least), longestReturn)
 	wait += time.Duration(g.rng.Float64() * float64(wait))
-	wait += time.Duration(rankReturn * float64(index) * float64(wait))
-	return min(wait, longestReturn)
+	return wait + time.Duration(rankReturn*float64(min(index, laterRanks))*float64(wait))
 }
