Odd values of a configuration are said and used as far as they make sense

Priorities below 0, no objective, an objective longer than the timeout: each has one outcome (rank 0, half of the timeout, the timeout) and a line in the log; no route is lost by one. The rank and the objective of a route are worked out in one place.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -13,7 +13,7 @@
 // request; otherwise it returns the refusal.
 func (q *query) admit(now time.Time) (Answer, bool) {
 	waited := q.gateway.waited(q.entry.Name, q.request.Timeout, now)
-	ask := admission.Ask{Rank: q.rank(), Objective: q.objective, Late: waited > q.objective, Wait: q.serverWait(now)}
+	ask := admission.Ask{Rank: q.entry.Rank(), Objective: q.objective, Late: waited > q.objective, Wait: q.serverWait(now)}
 	v := q.groups[0].offer(ask, now)
 	q.trace.wait, q.trace.chance = ask.Wait, v.Chance
 	if v.Admitted {
@@ -85,8 +85,5 @@
 	g := q.groups[0]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Ran(q.rank(), r.ran)
+	g.gate.Ran(q.entry.Rank(), r.ran)
 }
-
-// rank is the rank of the request's class; 0 is the highest.
-func (q *query) rank() uint32 { return uint32(max(q.entry.Priority, 0)) }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -220,6 +220,17 @@
 		c.tableSince = now
 		c.onTable(c.holder.Table())
 		c.log.Info().Uint64("version", config.Version).Uint64("revision", e.Revision).Int("routes", len(config.Routes)).Msg("configuration in force")
+		c.warn(config.Warnings())
+	}
+}
+
+// maxWarnings bounds the lines about the odd values of one configuration.
+const maxWarnings = 20
+
+// warn says which odd values of a configuration are not used as they are.
+func (c *control) warn(warnings []*route.InvalidError) {
+	for _, w := range warnings[:min(len(warnings), maxWarnings)] {
+		c.log.Warn().Err(w).Int("warnings", len(warnings)).Msg("odd value in the configuration")
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,10 +12,9 @@
 	// endMargin is kept between the last moment at which an answer is sent and
 	// the end of the caller's timeout.
 	endMargin = 20 * time.Millisecond
-	// offerShare is the share of the objective within which a request must
-	// have been offered to a server; otherwise it is refused, so that the
-	// caller can still be served elsewhere in time. A little less than the
-	// quarter that the users allow.
+	// offerShare is the share of the objective within which a request that was let in
+	// must have found a slot of a server; otherwise it is refused, so that the caller
+	// hears of it while it can still be served elsewhere in time.
 	offerShare = 0.1
 	// comeBack is the least time after which a refused caller is asked to come
 	// back.
@@ -25,9 +24,6 @@
 	// 0.2 s; a caller that is refused needs a new connection, and may come to
 	// another host that starts.
 	startWait = 150 * time.Millisecond
-	// defaultObjective stands for the objective of a route that has none, as a
-	// share of its timeout.
-	defaultObjective = 0.5
 )
 
 // Serve serves one request of a caller. The end of ctx says that the caller
@@ -118,10 +114,7 @@
 	if r.Timeout > 0 {
 		timeout = min(timeout, r.Timeout)
 	}
-	objective := entry.Objective
-	if objective <= 0 {
-		objective = time.Duration(defaultObjective * float64(entry.Timeout))
-	}
+	objective := entry.Goal()
 	p := &query{
 		gateway: g, view: v, entry: entry, request: r, trace: t, objective: objective,
 		end:     r.Arrived.Add(timeout - endMargin),
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -73,3 +73,21 @@
 	fmt.Println(table.Version(), table.Match("a.example", "/tags/17").Choose())
 	// Output: 3 printer
 }
+
+// Odd values are used as far as they make sense, and said; no route is lost by one.
+func TestOddValuesAreSaidAndUsed(t *testing.T) {
+	config := simple(7, "/a/", "s")
+	config.Routes[0].Objective = 200 * time.Millisecond
+	config.Routes = append(config.Routes, config.Routes[0], config.Routes[0], config.Routes[0])
+	config.Routes[1].Priority = -3
+	config.Routes[2].Objective = 0
+	config.Routes[3].Objective = 2 * config.Routes[3].Timeout
+	var h route.Holder
+	adopted, err := h.Adopt(config)
+	assert.NilError(t, err)
+	assert.Assert(t, adopted)
+	assert.Equal(t, len(config.Warnings()), 3)
+	assert.Equal(t, config.Routes[1].Rank(), uint32(0))
+	assert.Equal(t, config.Routes[2].Goal(), config.Routes[2].Timeout/2)
+	assert.Equal(t, config.Routes[3].Goal(), config.Routes[3].Timeout)
+}
--- a/route/validate.go
+++ b/route/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // InvalidError says which value of a configuration cannot be used, and why.
@@ -19,6 +20,43 @@
 	return fmt.Sprintf("configuration %d: route %q: %s is not usable: %s", e.Version, e.Route, e.Field, e.Remedy)
 }
 
+// Warnings returns the values that are odd but do not keep a configuration from
+// being used. Each says what is done instead.
+func (c *Config) Warnings() []*InvalidError {
+	var warnings []*InvalidError
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		warn := func(field, instead string) {
+			warnings = append(warnings, &InvalidError{Version: c.Version, Route: r.Name, Field: field, Remedy: instead})
+		}
+		if r.Priority < 0 {
+			warn("priority", "the highest rank, 0, is used instead; give 0 or more")
+		}
+		if r.Objective == 0 {
+			warn("objective", "half of the timeout is used instead; give a positive time")
+		}
+		if r.Objective > r.Timeout {
+			warn("objective", "the timeout is used instead; give a time that is not longer")
+		}
+	}
+	return warnings
+}
+
+// Rank is the rank of the route's class; 0 is the highest.
+func (r *Route) Rank() uint32 { return uint32(max(r.Priority, 0)) }
+
+// noObjectiveShare stands for the objective of a route that has none, as a share of
+// its timeout.
+const noObjectiveShare = 0.5
+
+// Goal is the time within which an answer has its full worth.
+func (r *Route) Goal() time.Duration {
+	if r.Objective <= 0 {
+		return time.Duration(noObjectiveShare * float64(r.Timeout))
+	}
+	return min(r.Objective, r.Timeout)
+}
+
 // Validate reports the first value that cannot be used, as an *InvalidError.
 func (c *Config) Validate() error {
 	for i := range c.Routes {
