--- a/cmd/mallowgap/explain.go
+++ b/cmd/mallowgap/explain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -8,23 +9,44 @@
 )
 
 type explainCommand struct {
-	Args struct {
-		Request string   `positional-arg-name:"REQUEST-ID" description:"Identifier of the request."`
-		Logs    []string `positional-arg-name:"LOG" description:"Log files of the hosts." required:"1"`
+	Summary bool `long:"summary" description:"Count what became of all requests, by route, cause and time; give log files only."`
+	Args    struct {
+		Words []string `positional-arg-name:"REQUEST-ID LOG" description:"Identifier of the request, then the log files of the hosts." required:"1"`
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute prints what the logs tell of a request.
+// errNoLog says that a request was named but no log.
+var errNoLog = errors.New("no log is given: name the log files of the hosts after the identifier")
+
+// Execute prints what the logs tell of a request, or of all.
 func (c *explainCommand) Execute([]string) error {
+	if c.Summary {
+		lines, err := readLogs(c.Args.Words)
+		if err != nil {
+			return err
+		}
+		return explain.Summarize(lines).Write(os.Stdout)
+	}
+	if len(c.Args.Words) < 2 {
+		return errNoLog
+	}
+	lines, err := readLogs(c.Args.Words[1:])
+	if err != nil {
+		return err
+	}
+	return explain.Of(lines, c.Args.Words[0]).Write(os.Stdout)
+}
+
+func readLogs(paths []string) ([]explain.Line, error) {
 	var lines []explain.Line
-	for _, path := range c.Args.Logs {
+	for _, path := range paths {
 		read, err := readLog(path)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
-	return explain.Of(lines, c.Args.Request).Write(os.Stdout)
+	return lines, nil
 }
 
 func readLog(path string) ([]explain.Line, error) {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -42,6 +42,8 @@
 type trace struct {
 	first, retries, hedges, denied int
 	relayed                        int
+	// rank is that of the route; 0 is the highest.
+	rank uint32
 	// wait is how long a request was expected to wait at the servers, chance that
 	// with which it was let in for that.
 	wait   time.Duration
@@ -90,7 +92,7 @@
 	if e == nil {
 		return
 	}
-	e = e.Str("request", r.ID).Str("route", routeName).Str("outcome", a.Outcome.String()).Dur("elapsed", elapsed).Dur("timeout", r.Timeout)
+	e = e.Str("request", r.ID).Str("route", routeName).Uint32("rank", t.rank).Dur("objective", objective).Str("outcome", a.Outcome.String()).Dur("elapsed", elapsed).Dur("timeout", r.Timeout)
 	if v.table != nil {
 		e = e.Uint64("version", v.table.Version()).Dur("version_age", time.Since(v.tableSince))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,7 +36,7 @@
 	name, objective := "", time.Duration(0)
 	entry, answer := match(v, r)
 	if entry != nil {
-		name, objective = entry.Name, entry.Objective
+		name, objective, t.rank = entry.Name, entry.Goal(), entry.Rank()
 		answer = g.serveRoute(ctx, v, entry, r, t)
 	}
 	elapsed := time.Since(r.Arrived)
