--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	scripts/mutants.sh
 
 bench:
-	go test -run '^$$' -bench . -benchtime 100ms ./admission ./member ./once ./rendezvous ./replica ./retry ./scatter ./snapshot ./fanout ./discovery
+	go test -run '^$$' -bench . -benchtime 100ms ./admission ./member ./once ./rendezvous ./replica ./retry ./scatter ./snapshot ./fanout ./discovery ./internal/gateway
 
 capacity: build
 	bin/mallowgap capacity docs/CAPACITY.md
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -203,3 +204,21 @@
 		assert.Equal(t, w.leafs.arrivals("shard0@c1"), 1)
 	})
 }
+
+// BenchmarkServerWait reads the waits of a query at the size designed for.
+func BenchmarkServerWait(b *testing.B) {
+	const shards = 140
+	f := newFleet(location{domain: "a1", region: "a"}, 10*time.Second)
+	now := time.Now()
+	f.update(serversOf(shardNames(shards), "a1", "a2"), func(discovery.Server) share { return share{conns: 3, hosts: 3} }, now)
+	q := &query{entry: &route.Entry{Route: route.Route{Query: &route.Query{MinShare: 0.9}}}}
+	for _, name := range shardNames(shards) {
+		g := f.group(name)
+		g.set.Queued(0, 3, shardWork, now)
+		q.groups = append(q.groups, g)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.serverWait(now)
+	}
+}
