Failures count like refusals in the choice of a server

Cause: servers that lose part of their answers (connection reset) were chosen as often as others: only three failures in a row count, 6 in 100 where 0.4 are lost. Change: a failure counts into the share of requests lost, as a refusal does. Test: TestReplicaThatLosesAnswersIsChosenLess.

--- a/replica/eject.go
+++ b/replica/eject.go
@@ -18,6 +18,7 @@
 	leaf.progress = now
 	leaf.observed = now
 	leaf.failures++
+	leaf.lost += smoothing * (1 - leaf.lost)
 	if leaf.failures < ejectAfter || !s.mayEject(i, now) {
 		return false
 	}
--- a/replica/observe.go
+++ b/replica/observe.go
@@ -50,7 +50,7 @@
 	leaf.observed = now
 	leaf.failures = 0
 	leaf.cuts = 0
-	leaf.refused -= smoothing * leaf.refused
+	leaf.lost -= smoothing * leaf.lost
 	if !now.Before(leaf.ejectedUntil) {
 		leaf.ejections = 0
 	}
@@ -60,7 +60,7 @@
 // Refused notes that a replica refused a request because it was full.
 func (s *Set) Refused(i int, now time.Time) {
 	leaf := s.Leaves[i]
-	leaf.refused += smoothing * (1 - leaf.refused)
+	leaf.lost += smoothing * (1 - leaf.lost)
 	leaf.Slots.Shed(now)
 }
 
@@ -88,7 +88,7 @@
 func (s *Set) Restarted(i int, now time.Time) {
 	leaf := s.Leaves[i]
 	leaf.latency = 0
-	leaf.refused = 0
+	leaf.lost = 0
 	leaf.failures = 0
 	leaf.cuts = 0
 	leaf.ejections = 0
--- a/replica/set.go
+++ b/replica/set.go
@@ -14,9 +14,9 @@
 	// ProbeEvery is the usual interval at which an avoided replica gets one
 	// repeatable request.
 	ProbeEvery = time.Second
-	// refusalCost is what a refusal costs, in time: another attempt, which also
-	// takes from the budget for extra ones.
-	refusalCost = 150 * time.Millisecond
+	// lossCost is what a refusal or a failure costs, in time: another attempt, which
+	// also takes from the budget for extra ones.
+	lossCost = 150 * time.Millisecond
 	// slowFloor is the latency below which no replica counts as slow.
 	slowFloor = time.Millisecond
 )
@@ -52,8 +52,8 @@
 	latency  time.Duration
 	progress time.Time
 	failures int
-	// refused is the smoothed share (0 to 1) of requests that the leaf refused.
-	refused float64
+	// lost is the smoothed share (0 to 1) of requests that the leaf refused or failed.
+	lost float64
 	// cuts is the number of requests cut short since the last answer.
 	cuts         int
 	ejections    int
@@ -239,7 +239,7 @@
 func (s *Set) cost(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	parallel := max(leaf.Parallel, 1)
-	again := time.Duration(leaf.refused * float64(refusalCost))
+	again := time.Duration(leaf.lost * float64(lossCost))
 	run := s.runTime(i, now) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
 	return run + leaf.Distance + again + s.othersWait(i, now)
 }
--- a/replica/set_test.go
+++ b/replica/set_test.go
@@ -166,3 +166,27 @@
 		})
 	}
 }
+
+// Servers that lose one answer in two, a reset at a time, are never ejected; the
+// requests go to the other one all the same.
+func TestReplicaThatLosesAnswersIsChosenLess(t *testing.T) {
+	s := newSet(2, 2, replica.Observed)
+	s.Leaves[1].Distance = 40 * time.Millisecond
+	now := start
+	picked := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		i := s.Pick(now, 0, 0)
+		s.Acquire(i, now)
+		s.Leaves[i].Slots.Release()
+		if i == 0 {
+			picked++
+			if picked%2 == 0 {
+				s.Failed(0, now)
+				continue
+			}
+		}
+		s.Answered(i, 20*time.Millisecond, now)
+	}
+	assert.Assert(t, picked < 20, "%d of 100 requests went to the replica that loses half of its answers", picked)
+}
