--- a/replica/set_test.go
+++ b/replica/set_test.go
@@ -108,8 +108,9 @@
 
 // A replica that refuses much of what it gets costs extra attempts; a distant
 // one that does not is better.
-func TestRefusingReplicaIsChosenLess(t *testing.T) {
-	s := newSet(2, 2, replica.Observed)
+// pickedOf100 returns how many of 100 requests go to a near replica that loses every
+// second one, beside a far one that is sound.
+func pickedOf100(s *replica.Set, lose func(now time.Time)) int {
 	s.Leaves[1].Distance = 40 * time.Millisecond
 	now := start
 	picked := 0
@@ -118,20 +119,32 @@
 		i := s.Pick(now, 0, 0)
 		s.Acquire(i, now)
 		s.Leaves[i].Slots.Release()
-		if i == 1 {
-			s.Answered(1, 20*time.Millisecond, now)
-			continue
+		if i == 0 {
+			picked++
 		}
-		picked++
-		if picked%2 == 0 {
-			s.Refused(0, now)
+		if i == 0 && picked%2 == 0 {
+			lose(now)
 		} else {
-			s.Answered(0, 20*time.Millisecond, now)
+			s.Answered(i, 20*time.Millisecond, now)
 		}
 	}
+	return picked
+}
+
+func TestRefusingReplicaIsChosenLess(t *testing.T) {
+	s := newSet(2, 2, replica.Observed)
+	picked := pickedOf100(s, func(now time.Time) { s.Refused(0, now) })
 	assert.Assert(t, picked < 20, "%d of 100 requests went to the replica that refuses half", picked)
 }
 
+// Servers that lose one answer in two, a reset at a time, are never ejected; the
+// requests go to the other one all the same.
+func TestReplicaThatLosesAnswersIsChosenLess(t *testing.T) {
+	s := newSet(2, 2, replica.Observed)
+	picked := pickedOf100(s, func(now time.Time) { s.Failed(0, now) })
+	assert.Assert(t, picked < 20, "%d of 100 requests went to the replica that loses half of its answers", picked)
+}
+
 func TestCapacityCountsSlowReplicasLess(t *testing.T) {
 	s := newSet(2, 2, replica.Observed)
 	assert.Equal(t, s.Capacity(start), 4.0)
@@ -167,30 +180,6 @@
 	}
 }
 
-// Servers that lose one answer in two, a reset at a time, are never ejected; the
-// requests go to the other one all the same.
-func TestReplicaThatLosesAnswersIsChosenLess(t *testing.T) {
-	s := newSet(2, 2, replica.Observed)
-	s.Leaves[1].Distance = 40 * time.Millisecond
-	now := start
-	picked := 0
-	for range 100 {
-		now = now.Add(100 * time.Millisecond)
-		i := s.Pick(now, 0, 0)
-		s.Acquire(i, now)
-		s.Leaves[i].Slots.Release()
-		if i == 0 {
-			picked++
-			if picked%2 == 0 {
-				s.Failed(0, now)
-				continue
-			}
-		}
-		s.Answered(i, 20*time.Millisecond, now)
-	}
-	assert.Assert(t, picked < 20, "%d of 100 requests went to the replica that loses half of its answers", picked)
-}
-
 // What a lost request costs is counted in calls: where calls are short a far server
 // is not worth a few lost requests of a near one, where they are long it is.
 func TestCostOfLostRequestsGrowsWithTheCalls(t *testing.T) {
