The host that others follow keeps their entries in the store

Cause: each host held a lease and an entry of its own: two writes a host to start, one to stop, a renewal every four seconds, two writes more after an outage that ended the leases. With 4,303 hosts that is 8,600 writes into a store that has just come back. Ruled out: entries without a lease (nobody takes a lost host out); only relays announced (the retry budget needs all to be counted); conditional writes (not needed: an entry that another host wrote since is told by its revision). Change: a follower sends its entry with Follow; the host that is followed writes the entries of all of them under one lease, 32 a call, removes those of hosts that stop or vanish, and says with each reply that it keeps them; a host that nobody keeps announces itself.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,39 +39,61 @@
 	log      zerolog.Logger
 	health   *PeerHealth
 	state    *state
+	announce *announcer
 	packer   entryPacker
 	rereads  *metrics.Counter
 
 	// loaded, followed and heldOff belong to the goroutine that follows the store.
 	loaded   bool
 	followed uint64
+	// leaderFailures counts the hosts in a row that could not be followed.
+	leaderFailures int
+	// introduced tells that peers were asked for others after the first reading.
+	introduced bool
 	// heldOff tells until when a host, by its address, is not followed.
 	heldOff map[string]time.Time
 
-	duties  sync.WaitGroup
-	leaving context.CancelFunc
+	// preferred is the address of a host that reaches the store while others do not;
+	// better has a value when it changes.
+	preferred atomic.Pointer[string]
+	better    chan struct{}
+
+	duties sync.WaitGroup
+	// leave is closed when a planned stop begins.
+	leave     chan struct{}
+	leaveOnce sync.Once
 }
 
 // New returns a Control; Start must follow.
 func New(config Config) *Control {
-	return &Control{
+	c := &Control{
 		name: config.Self.GetName(), self: config.Self, settings: config.Settings, seeds: config.Seeds,
 		store: config.Store, peers: config.Peers, log: config.Log, health: newPeerHealth(),
 		state:   newState(config.Store, config.Listener, hostOf(config.Self), config.RelaysPerDomain, config.Log),
 		rereads: metrics.GetOrCreateCounter("mallowgap_store_rereads_total"),
 		heldOff: map[string]time.Time{},
+		better:  make(chan struct{}, 1),
+		leave:   make(chan struct{}),
 	}
+	c.announce = newAnnouncer(c, config.Settings.GetLease().AsDuration())
+	return c
 }
 
 // Start starts the control goroutine and the duties. They end with ctx.
 func (c *Control) Start(ctx context.Context) {
-	announceCtx, leave := context.WithCancel(ctx)
-	c.leaving = leave
+	announceCtx, stopAnnouncing := context.WithCancel(ctx)
+	go func() {
+		defer stopAnnouncing()
+		select {
+		case <-c.leave:
+		case <-ctx.Done():
+		}
+	}()
 	go c.state.run(ctx)
 	c.duty(func() { c.followStore(ctx) })
 	c.duty(func() { c.followPeers(ctx) })
 	c.duty(func() { c.probePeers(ctx) })
-	c.duty(func() { c.announce(announceCtx) })
+	c.duty(func() { c.announce.run(announceCtx) })
 }
 
 func (c *Control) duty(run func()) {
@@ -97,7 +120,7 @@
 		c.state.stopping = true
 		c.state.publish(time.Now())
 	})
-	c.leaving()
+	c.leaveOnce.Do(func() { close(c.leave) })
 }
 
 // Wait waits for the duties, which end with the context of Start.
--- a/internal/control/fakestore/fakestore.go
+++ b/internal/control/fakestore/fakestore.go
@@ -31,9 +31,14 @@
 	down     bool
 	// compacted is the revision up to which the history is gone.
 	compacted uint64
-	leases    map[uint64]string
+	leases    map[uint64]bool
+	lastLease uint64
+	// leaseOf names the lease of each entry of a host.
+	leaseOf map[string]uint64
 	// Calls counts reads and watches.
 	Calls atomic.Int64
+	// Writes counts leases and writes, Renewals renewals.
+	Writes, Renewals atomic.Int64
 }
 
 // Timeout is the bound of a call of the store in the fake world.
@@ -69,7 +74,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{entries: map[entryKey]control.Entry{}, changed: make(chan struct{}), leases: map[uint64]string{}}
+	return &Store{entries: map[entryKey]control.Entry{}, changed: make(chan struct{}), leases: map[uint64]bool{}, leaseOf: map[string]uint64{}}
 }
 
 // Apply writes or removes an entry under a new revision.
@@ -78,12 +83,21 @@
 	defer s.mu.Unlock()
 	s.revision++
 	e.Revision = s.revision
+	s.put(e)
+	s.wake()
+}
+
+func (s *Store) put(e control.Entry) {
 	if e.Removed {
 		delete(s.entries, entryKey{e.Kind, e.Name})
 	} else {
 		s.entries[entryKey{e.Kind, e.Name}] = e
 	}
 	s.events = append(s.events, e)
+}
+
+// wake ends the watches that wait.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -172,46 +186,71 @@
 	}
 }
 
-// Announce implements control.Store.
-func (s *Store) Announce(_ context.Context, name string, value []byte, _ time.Duration) (uint64, error) {
+// Lease implements control.Store.
+func (s *Store) Lease(context.Context, time.Duration) (uint64, error) {
 	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	if down {
+	defer s.mu.Unlock()
+	s.Writes.Add(1)
+	if s.down {
 		return 0, ErrDown
 	}
-	s.Apply(control.Entry{Kind: relaypb.EntryKind_HOST, Name: name, Value: value})
+	s.lastLease++
+	s.leases[s.lastLease] = true
+	return s.lastLease, nil
+}
+
+// WriteHosts implements control.Store.
+func (s *Store) WriteHosts(_ context.Context, lease uint64, puts map[string][]byte, remove []string) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases[s.revision] = name
+	s.Writes.Add(1)
+	if s.down {
+		return 0, ErrDown
+	}
+	if len(puts) > 0 && !s.leases[lease] {
+		return 0, control.ErrLeaseEnded
+	}
+	s.revision++
+	for name, value := range puts {
+		s.put(control.Entry{Kind: relaypb.EntryKind_HOST, Name: name, Value: value, Revision: s.revision})
+		s.leaseOf[name] = lease
+	}
+	for _, name := range remove {
+		s.put(control.Entry{Kind: relaypb.EntryKind_HOST, Name: name, Revision: s.revision, Removed: true})
+	}
+	s.wake()
 	return s.revision, nil
 }
 
+// EndLeases ends all leases, as an outage may: their entries go.
+func (s *Store) EndLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for name, lease := range s.leaseOf {
+		if s.leases[lease] {
+			s.put(control.Entry{Kind: relaypb.EntryKind_HOST, Name: name, Revision: s.revision, Removed: true})
+		}
+	}
+	clear(s.leaseOf)
+	clear(s.leases)
+	s.wake()
+}
+
 // Renew implements control.Store.
 func (s *Store) Renew(_ context.Context, lease uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.Renewals.Add(1)
 	if s.down {
 		return ErrDown
 	}
-	if _, ok := s.leases[lease]; !ok {
+	if !s.leases[lease] {
 		return control.ErrLeaseEnded
 	}
 	return nil
 }
 
-// Withdraw implements control.Store.
-func (s *Store) Withdraw(_ context.Context, lease uint64) error {
-	s.mu.Lock()
-	name, ok := s.leases[lease]
-	delete(s.leases, lease)
-	s.mu.Unlock()
-	if ok {
-		s.Apply(control.Entry{Kind: relaypb.EntryKind_HOST, Name: name, Removed: true})
-	}
-	return nil
-}
-
 // DecodeConfig implements control.Decoder.
 func (s *Store) DecodeConfig(value []byte) (c route.Config, err error) {
 	err = json.Unmarshal(value, &c)
@@ -223,3 +262,16 @@
 	err = json.Unmarshal(value, &server)
 	return server, err
 }
+
+// KeptUnder returns the number of entries under the lease of a host's entry.
+func (s *Store) KeptUnder(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, lease := range s.leaseOf {
+		if lease == s.leaseOf[name] {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -24,6 +24,9 @@
 	// probeEvery is the mean interval at which a follower asks the store itself
 	// while the host that it follows says that the store is lost.
 	probeEvery = 2 * time.Second
+	// storeProbers is the number of hosts of a region, beside the one that the others
+	// follow, that ask the store while it is lost.
+	storeProbers = 3
 	// heldOffFor is for how long a host that lost the store, which others reach,
 	// is not followed, up to half as long again at random. The store may turn a
 	// host away for many seconds; to find out costs a call or two.
@@ -36,6 +39,7 @@
 	errLeaderSilent = errors.New("nothing was heard from it")
 	errLeaderStale  = errors.New("it has not heard from the store for too long")
 	errLeaderCut    = errors.New("it lost the store, which answers here")
+	errLeaving      = errors.New("this host stops: the other is told so")
 )
 
 // leader returns the host of this region that this host follows. It returns
@@ -47,15 +51,41 @@
 	if !c.loaded {
 		return Host{}, false
 	}
+	var first Host
+	found := false
 	for _, h := range c.View().inRegion(c.self.GetRegion()) {
 		if compareHosts(h, Host{Name: c.name, Strength: c.self.GetStrength()}) >= 0 {
-			return Host{}, false
+			break
+		}
+		if c.health.suspected(h.Address) || time.Now().Before(c.heldOff[h.Address]) {
+			continue
 		}
-		if !c.health.suspected(h.Address) && !time.Now().Before(c.heldOff[h.Address]) {
+		if preferred := c.preferred.Load(); preferred != nil && *preferred == h.Address {
 			return h, true
 		}
+		if !found {
+			first, found = h, true
+		}
 	}
-	return Host{}, false
+	return first, found
+}
+
+// leaderFailed takes in why a host is followed no longer, and reports whether another
+// one is to be tried before the store is read. One is: all hosts of a region lose the
+// same one, and one reader is enough. A second that fails costs time, which a change of
+// the configuration does not have.
+func (c *Control) leaderFailed(leader Host, err error) bool {
+	if errors.Is(err, errLeaving) {
+		return true
+	}
+	c.leaderFailures++
+	c.log.Info().Err(err).Str("peer", leader.Name).Int("in_a_row", c.leaderFailures).Msg("the host that was followed is not up to date")
+	if errors.Is(err, errLeaderCut) || errors.Is(err, errLeaderStale) {
+		c.holdOff(leader.Address, time.Now())
+	} else {
+		c.Suspect(leader.Address, time.Now())
+	}
+	return c.loaded && c.leaderFailures == 1
 }
 
 // holdOff keeps this host from following one that lost the store, or of which
@@ -83,14 +113,30 @@
 	return hosts
 }
 
+// isLeaving reports whether a planned stop has begun.
+func (c *Control) isLeaving() bool {
+	select {
+	case <-c.leave:
+		return true
+	default:
+		return false
+	}
+}
+
 // followLeader takes in what another host learns, until that host is of no use.
 func (c *Control) followLeader(ctx context.Context, leader Host) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer c.announce.setFollowed(false)
+	request := &relaypb.FollowRequest{Revision: c.followed, Packs: true, Host: c.self}
+	leave := c.leave
+	if c.isLeaving() {
+		request.Leaving, leave = true, nil
+	}
 	received := make(chan *relaypb.FollowReply)
 	failed := make(chan error, 1)
 	go func() {
-		failed <- c.peers.Follow(ctx, leader.Address, &relaypb.FollowRequest{Revision: c.followed, Packs: true}, func(r *relaypb.FollowReply) {
+		failed <- c.peers.Follow(ctx, leader.Address, request, func(r *relaypb.FollowReply) {
 			select {
 			case received <- r:
 			case <-ctx.Done():
@@ -106,6 +152,12 @@
 			}
 		case err := <-failed:
 			return err
+		case <-leave:
+			return errLeaving
+		case <-c.better:
+			if preferred := c.preferred.Load(); preferred != nil && *preferred != leader.Address {
+				return errLeaderCut
+			}
 		case <-time.After(silenceLimit):
 			return errLeaderSilent
 		case <-ctx.Done():
@@ -117,6 +169,8 @@
 // takeUpdates takes in one message of the host that is followed.
 func (c *Control) takeUpdates(ctx context.Context, reply *relaypb.FollowReply, nextProbe *time.Time) error {
 	now := time.Now()
+	c.leaderFailures = 0
+	c.announce.setFollowed(reply.GetKeepsEntry())
 	age := time.Duration(reply.GetAgeUs()) * time.Microsecond
 	entries, err := unpackEntries(reply.GetPackedEntries(), reply.GetEntries())
 	if err != nil {
@@ -142,13 +196,32 @@
 	return nil
 }
 
+// probeGap returns the time between two questions of this host to a store that the
+// host it follows has lost, and whether it asks at once. So about as many hosts of a
+// region ask as there are storeProbers, however many it has: of 195 hosts all asked,
+// ten times each in an outage of six seconds, counted by the store. The others learn
+// from these.
+func (c *Control) probeGap() (gap time.Duration, first bool) {
+	gap = probeEvery/2 + rand.N(probeEvery)
+	hosts := c.View().inRegion(c.self.GetRegion())
+	rank := slices.IndexFunc(hosts, func(h Host) bool { return h.Name == c.name })
+	if 0 <= rank && rank <= storeProbers {
+		return gap, true
+	}
+	return gap * time.Duration(max(1, len(hosts)/storeProbers)), false
+}
+
 // probeStore asks the store from time to time whether it is lost only for the
 // host that is followed.
 func (c *Control) probeStore(ctx context.Context, now time.Time, next *time.Time) error {
+	gap, first := c.probeGap()
+	if next.IsZero() && !first {
+		*next = now.Add(gap)
+	}
 	if now.Before(*next) {
 		return nil
 	}
-	*next = now.Add(probeEvery/2 + rand.N(probeEvery))
+	*next = now.Add(gap)
 	err := c.watch(ctx, probeWait, c.settings.GetWatchSlack().AsDuration())
 	if errors.Is(err, ErrCompacted) {
 		c.loaded = false // The store answers, but must be read again.
@@ -164,6 +237,9 @@
 func (c *Control) Follow(m *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
 	ctx := stream.Context()
 	known := m.GetRevision()
+	if h := m.GetHost(); h != nil {
+		defer c.announce.join(h, m.GetLeaving())()
+	}
 	for ctx.Err() == nil {
 		var n updates
 		c.state.do(ctx, func() { n = c.state.updatesSince(known, time.Now()) })
@@ -173,6 +249,7 @@
 		reply := &relaypb.FollowReply{
 			Revision: max(n.Revision, known), Complete: n.complete,
 			AgeUs: uint64(max(n.age, 0).Microseconds()), StoreLost: n.storeLost,
+			KeepsEntry: c.announce.keeps(time.Now()),
 		}
 		var err error
 		if reply.Entries, reply.PackedEntries, err = c.entriesFor(m.GetPacks(), known, n); err != nil {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -13,15 +13,18 @@
 // followPeers asks peers for what they know while the store is away or has not
 // answered since the start, so that a host still learns of changes, or starts.
 func (c *Control) followPeers(ctx context.Context) {
-	wait := firstPeerPoll
+	asked := time.Time{}
 	for ctx.Err() == nil {
-		pause.For(ctx, wait)
+		pause.For(ctx, firstPeerPoll)
 		v := c.View()
 		if v.StoreLost.IsZero() && v.Revision > 0 {
-			wait = peerPoll
 			continue
 		}
-		if address := c.anyPeer(v); address != "" {
+		if v.Revision > 0 && time.Since(asked) < peerPoll {
+			continue
+		}
+		if address := c.informedPeer(v); address != "" {
+			asked = time.Now()
 			c.askPeer(ctx, address, v.Revision)
 		}
 	}
@@ -57,11 +60,13 @@
 	c.log.Info().Str("peer", address).Msg("peer answers again")
 }
 
-// anyPeer returns the address of a random peer, or of a seed.
-func (c *Control) anyPeer(v *View) string {
+// informedPeer returns the address of a host that is likely to reach the store where any
+// does: one of the first of a region, at random, or a seed.
+func (c *Control) informedPeer(v *View) string {
 	var addresses []string
-	for _, hosts := range v.Hosts {
-		for _, h := range hosts {
+	for _, region := range append(v.farRegions, c.self.GetRegion()) {
+		hosts := v.inRegion(region)
+		for _, h := range hosts[:min(len(hosts), storeProbers+1)] {
 			if h.Name != c.name {
 				addresses = append(addresses, h.Address)
 			}
@@ -76,6 +81,7 @@
 	return addresses[rand.IntN(len(addresses))]
 }
 
+// askPeer takes in what a peer knows beyond a revision.
 func (c *Control) askPeer(ctx context.Context, address string, known uint64) {
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -84,6 +90,9 @@
 		c.log.Debug().Err(err).Str("peer", address).Msg("peer could not be asked")
 		return
 	}
+	if age := time.Duration(reply.GetAgeUs()) * time.Microsecond; age > 0 && age <= ageLimit && !reply.GetStoreLost() {
+		c.prefer(address)
+	}
 	if reply.GetRevision() <= known {
 		return
 	}
@@ -93,21 +102,42 @@
 		return
 	}
 	reading := Reading{Revision: reply.GetRevision(), Entries: entries}
-	c.log.Info().Str("peer", address).Uint64("revision", reading.Revision).Uint64("known", known).Msg("learned from a peer while the store is away")
+	c.log.Info().Str("peer", address).Uint64("revision", reading.Revision).Uint64("known", known).Msg("learned from a peer")
 	c.state.do(ctx, func() { c.state.applyReading(reading, time.Now()) })
 }
 
+// prefer lets this host follow one that reaches the store. A host of another region, or
+// one that comes after this one, is not followed: leader leaves it out.
+func (c *Control) prefer(address string) {
+	if previous := c.preferred.Swap(&address); previous != nil && *previous == address {
+		return
+	}
+	select {
+	case c.better <- struct{}{}:
+	default:
+	}
+}
+
 // State implements the relay protocol.
 func (c *Control) State(ctx context.Context, request *relaypb.StateRequest) (*relaypb.StateReply, error) {
 	var n updates
 	c.state.do(ctx, func() {
-		if c.state.revision > request.GetRevision() {
-			n = c.state.updatesSince(0, time.Now())
+		known := c.state.revision
+		if known > request.GetRevision() {
+			known = 0
 		}
+		n = c.state.updatesSince(known, time.Now())
 	})
 	entries, packed, err := c.entriesFor(request.GetPacks(), 0, n)
 	if err != nil {
 		return nil, err
 	}
-	return &relaypb.StateReply{Revision: n.Revision, Entries: entries, PackedEntries: packed}, nil
+	reply := &relaypb.StateReply{
+		Revision: n.Revision, Entries: entries, PackedEntries: packed,
+		StoreLost: n.storeLost, AgeUs: uint64(max(n.age, time.Microsecond).Microseconds()),
+	}
+	if len(n.Entries) == 0 {
+		reply.Revision = 0
+	}
+	return reply, nil
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -300,7 +300,9 @@
 		s.log.Error().Err(err).Str("peer", e.Name).Msg("peer entry cannot be decoded; it is left out")
 		return
 	}
-	s.hosts[e.Name] = hostOf(&h)
+	registered := hostOf(&h)
+	registered.revision = e.Revision
+	s.hosts[e.Name] = registered
 	s.tally.peers++
 }
 
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -33,7 +33,7 @@
 // kept: everything must be read again.
 var ErrCompacted = errors.New("the store no longer has these changes: read everything again")
 
-// ErrLeaseEnded is returned by Renew for a lease that is gone.
+// ErrLeaseEnded is returned by Renew and WriteHosts for a lease that is gone.
 var ErrLeaseEnded = errors.New("the lease has ended: announce again")
 
 // Decoder decodes what the store's entries hold.
@@ -52,12 +52,14 @@
 	Read(ctx context.Context) (Reading, error)
 	// Watch waits for changes after a revision, for at most wait.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
-	// Announce writes this host's entry under a new lease and returns it.
-	Announce(ctx context.Context, name string, value []byte, ttl time.Duration) (lease uint64, err error)
-	// Renew renews a lease.
+	// Lease returns a new lease. Entries written under it go when it ends.
+	Lease(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	// Renew renews a lease, or returns ErrLeaseEnded.
 	Renew(ctx context.Context, lease uint64) error
-	// Withdraw ends a lease, which removes the entry.
-	Withdraw(ctx context.Context, lease uint64) error
+	// WriteHosts writes the entries of hosts by their names under a lease and removes
+	// others, all or nothing, 32 together at the most. It returns the revision. To do
+	// so twice changes nothing, so that a call whose reply was lost can be made again.
+	WriteHosts(ctx context.Context, lease uint64, puts map[string][]byte, remove []string) (revision uint64, err error)
 }
 
 // Peers calls other gateways.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/mallowgap/mallowgap/internal/pause"
@@ -13,20 +14,21 @@
 	// that failed is made again.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = 800 * time.Millisecond
+	// retryGrowth is by how much longer each wait is than the one before. A host that
+	// starts while the store is away has heard from a peer before its third call.
+	retryGrowth = 4
 	// watchGap is the least time between two watches, so that changes that come
 	// close together cost one call.
 	watchGap = 250 * time.Millisecond
-	// firstPeerPoll is when a host that has learned nothing since its start
-	// asks a peer, and how often it does so then.
+	// firstPeerPoll is the interval at which a host looks whether it has to ask a peer:
+	// one that has learned nothing since its start asks each time.
 	firstPeerPoll = 250 * time.Millisecond
-	// peerPoll is the interval at which peers are asked while the store is away.
+	// peerPoll is the least time between two questions while the store is away.
 	peerPoll = 700 * time.Millisecond
 	// peerTimeout bounds a question to a peer.
 	peerTimeout = 500 * time.Millisecond
 	// probeTick is the interval at which suspected peers are looked at.
 	probeTick = 250 * time.Millisecond
-	// renewals is how often a lease is renewed in its time.
-	renewals = 3
 )
 
 // followStore follows the store's changes until ctx ends: through another host
@@ -34,16 +36,15 @@
 func (c *Control) followStore(ctx context.Context) {
 	wait := retryFirst
 	for ctx.Err() == nil {
+		c.adoptFromPeers()
+		c.introduce(ctx)
 		if leader, ok := c.leader(); ok {
 			err := c.followLeader(ctx, leader)
 			if ctx.Err() != nil {
 				return
 			}
-			c.log.Info().Err(err).Str("peer", leader.Name).Msg("the host that was followed is not up to date: reading the store")
-			if errors.Is(err, errLeaderCut) || errors.Is(err, errLeaderStale) {
-				c.holdOff(leader.Address, time.Now())
-			} else {
-				c.Suspect(leader.Address, time.Now())
+			if c.leaderFailed(leader, err) {
+				continue
 			}
 		}
 		err := c.followOnce(ctx)
@@ -62,10 +63,36 @@
 		}
 		c.state.do(ctx, func() { c.state.storeIs(false, err, time.Time{}, time.Now()) })
 		pause.For(ctx, wait)
-		wait = min(2*wait, retryLongest)
+		wait = min(retryGrowth*wait, retryLongest)
 	}
 }
 
+// adoptFromPeers takes what peers told a host that has not read the store yet for a
+// reading: it need not read the store, and can follow another host.
+func (c *Control) adoptFromPeers() {
+	if v := c.View(); !c.loaded && v.Known && v.Revision > 0 {
+		c.loaded = true
+		c.followed = v.Revision
+	}
+}
+
+// introduce finds out, once after the start, whether there is a host to follow. One that
+// knows no other after its first reading waits for those that announce themselves first
+// and hears of them from a seed: that costs no call of the store.
+func (c *Control) introduce(ctx context.Context) {
+	if c.introduced || !c.loaded {
+		return
+	}
+	c.introduced = true
+	if len(c.seeds) > 0 && c.View().Count == 0 {
+		pause.For(ctx, c.announce.spread())
+		c.askPeer(ctx, c.seeds[rand.IntN(len(c.seeds))], c.followed)
+		c.followed = max(c.followed, c.View().Revision)
+	}
+	_, follows := c.leader()
+	c.announce.introduced(follows, time.Now())
+}
+
 // followOnce makes one call of the store: a reading where nothing is known,
 // else a watch.
 func (c *Control) followOnce(ctx context.Context) error {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -22,6 +22,8 @@
 	Strength float64
 	// Packs tells that it understands packed lists.
 	Packs bool
+	// revision is that of its entry.
+	revision uint64
 }
 
 // hostOf returns the host that an entry describes.
@@ -51,6 +53,17 @@
 	Revision uint64
 }
 
+// revisions returns the revisions of the entries of all hosts.
+func (v *View) revisions() map[string]uint64 {
+	revisions := make(map[string]uint64, v.Count)
+	for _, group := range v.Hosts {
+		for _, h := range group {
+			revisions[h.Name] = h.revision
+		}
+	}
+	return revisions
+}
+
 // Relays returns the hosts of a failure domain that call the servers there.
 func (v *View) Relays(domain string, most int) []Host {
 	hosts := v.Hosts[domain]
