Hosts that went not long ago share the retry budget

Cause: the slack of the retry budget is divided by the hosts known. Where the entries of a region are kept by one host, all of them may lapse and come back within seconds, and each of the others took the part of one of fewer meanwhile. Ruled out: counting by the store's lapse grace only (it covers outages, not a lost keeper). Test: TestHostsThatWentShareTheBudgetForAWhile.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -45,6 +45,9 @@
 	chooser *chooser
 	// Count is the number of hosts.
 	Count int
+	// Sharers is the number of hosts that share what is divided over a span of time, as the
+	// retry budget: those that went not long ago count.
+	Sharers int
 	// farRegions are the other regions in which hosts stand.
 	farRegions []string
 	// Known tells that the configuration and the servers are known.
--- a/internal/control/view_test.go
+++ b/internal/control/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/discovery"
@@ -97,3 +98,22 @@
 	assert.Assert(t, viewOf(t, 0, 54, 120).Share(s, 3).Callers() == nil, "where all fit, all call it")
 	assert.Assert(t, viewOf(t, 0, 195, 0).Share(s, 3).Callers() == nil, "without a limit, all call it")
 }
+
+// The entries of a region of hosts lapse and come back within seconds: the parts of the
+// retry budget that the others took for theirs were larger meanwhile.
+func TestHostsThatWentShareTheBudgetForAWhile(t *testing.T) {
+	s := newState(jsonDecoder{}, noListener{}, Host{Name: "host0", Domain: "d0", Region: "r"}, 3, zerolog.Nop())
+	now := time.Unix(1000, 0)
+	all := fleetEntries(60, 1, 1)
+	s.applyReading(Reading{Revision: 1, Entries: all}, now)
+	assert.Equal(t, s.view().Sharers, 60)
+	now = now.Add(time.Second)
+	s.applyReading(Reading{Revision: 2, Entries: all[:20]}, now)
+	assert.Equal(t, s.view().Count, 20)
+	assert.Equal(t, s.view().Sharers, 60)
+	now = now.Add(sharerLife + time.Second)
+	s.publish(now)
+	assert.Equal(t, s.view().Sharers, 20)
+	s.applyReading(Reading{Revision: 3, Entries: fleetEntries(60, 1, 3)}, now)
+	assert.Equal(t, s.view().Sharers, 60)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,7 +171,7 @@
 
 func (q *query) takeBudget(g *group, kind attemptKind, now time.Time) bool {
 	s := q.gateway.settings.GetRetry()
-	hosts := float64(max(q.view.Count, 1))
+	hosts := float64(max(q.view.Sharers, 1))
 	part := 1.0
 	// A copy of a request only takes the place of another: without copies in an
 	// overload a tenth more was answered in time at three times the callers.
