One place works out how many shards an answer needs; costs are noted once a reply

Cause: the least share was turned into a number in fanout twice and in the gate's wait, with a special case for single services; the gate's mutex was taken for each part. Change: fanout.Query.Needed serves all; noteCosts takes the mutex once a reply. Behaviour is unchanged; the tests of fanout and the gateway hold as they were (a benchmark makes its query with a state now).

--- a/fanout/extra.go
+++ b/fanout/extra.go
@@ -1,9 +1,6 @@
 package fanout
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // The parts of the retry budget that queries may use, by what they lack; chosen
 // on days on which most servers refuse most requests, between 0.5 and 1.
@@ -47,5 +44,5 @@
 			hoped++
 		}
 	}
-	return int(math.Ceil(q.settings.MinShare*float64(q.settings.Shards))) - hoped
+	return q.Needed() - hoped
 }
--- a/fanout/query.go
+++ b/fanout/query.go
@@ -149,7 +149,7 @@
 
 // Enough reports whether the answer so far holds the least share of shards.
 func (q *Query) Enough() bool {
-	return q.covered > 0 && float64(q.covered) >= q.settings.MinShare*float64(q.settings.Shards)
+	return q.covered >= q.Needed()
 }
 
 // Finished reports whether the query ends at now: all shards are in or have
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/mallowgap/mallowgap/admission"
+	"github.com/mallowgap/mallowgap/api/relaypb"
 )
 
 // admit decides before any server is asked whether the servers have room for the
@@ -55,11 +55,7 @@
 		waits = append(waits, g.leastWait(now))
 	}
 	slices.Sort(waits)
-	needed := len(waits)
-	if q.entry.Query != nil {
-		needed = int(math.Ceil(q.entry.Query.MinShare * float64(len(waits))))
-	}
-	return waits[max(needed, 1)-1]
+	return waits[q.state.Needed()-1]
 }
 
 // offer asks the gate of the service about a request.
@@ -85,13 +81,14 @@
 	return g.gate.Overloaded()
 }
 
-// noteCost tells the gate what a request of this rank costs.
-func (q *query) noteCost(r result) {
-	if r.ran <= 0 {
-		return
-	}
+// noteCosts tells the gate what a request of this rank costs a server.
+func (q *query) noteCosts(results []result) {
 	g := q.groups[0]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Ran(q.entry.Rank(), r.ran)
+	for _, r := range results {
+		if r.outcome == relaypb.Outcome_PART && r.ran > 0 {
+			g.gate.Ran(q.entry.Rank(), r.ran)
+		}
+	}
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/fanout"
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/route"
 )
@@ -214,7 +215,7 @@
 	f := newFleet(location{domain: "a1", region: "a"}, 10*time.Second)
 	now := time.Now()
 	f.update(serversOf(shardNames(shards), "a1", "a2"), func(discovery.Server) control.Share { return control.Share{Conns: 3, Hosts: 3} }, now)
-	q := &query{entry: &route.Entry{Route: route.Route{Query: &route.Query{MinShare: 0.9}}}}
+	q := &query{state: fanout.New(fanout.Settings{Shards: shards, MinShare: 0.9})}
 	for _, name := range shardNames(shards) {
 		g := f.group(name)
 		g.set.Queued(0, 3, shardWork, now)
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -226,7 +226,6 @@
 			block.Shards = append(block.Shards, r.shard)
 			block.Signatures = append(block.Signatures, r.signature)
 			q.keep(r)
-			q.noteCost(r)
 		case relaypb.Outcome_NOT_RUN, relaypb.Outcome_NOT_SENT:
 			q.takeRefusal(r)
 		default:
@@ -234,6 +233,7 @@
 		}
 	}
 	if len(block.Shards) > 0 {
+		q.noteCosts(e.results)
 		q.state.Offer(block)
 	}
 }
