--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -51,6 +51,11 @@
 	Known bool
 	// Running and Waiting are the numbers of requests that run and wait.
 	Running, Waiting int
+	// Slowness is how many times longer than usual work takes on the server's machine at
+	// this moment; 0 is unknown.
+	Slowness float64
+	// Unreadable is what the server told where that cannot be read.
+	Unreadable string
 }
 
 // OK reports whether the server served the request.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -61,6 +62,8 @@
 	leaf   *replica.Leaf
 	// share is this host's part of it.
 	share control.Share
+	// saidUnreadable tells that the log says that its load reports cannot be read.
+	saidUnreadable *atomic.Bool
 }
 
 // group holds the servers of one service.
@@ -192,8 +195,9 @@
 func adopt(old *backend, s discovery.Server, p location, own control.Share, now time.Time) *backend {
 	b := &backend{Server: s, region: p.regions[s.Domain]}
 	if old != nil {
-		b.leaf = old.leaf
+		b.leaf, b.saidUnreadable = old.leaf, old.saidUnreadable
 	} else {
+		b.saidUnreadable = &atomic.Bool{}
 		b.leaf = &replica.Leaf{Address: s.Address, Domain: s.Domain, Slots: limit.NewSlots(p.slots(own)), Sharers: own.Hosts, Distance: p.distance(s.Domain), Parallel: max(s.Slots, 1)}
 		if s.Cold > 0 {
 			b.leaf.Slots.Restarted(now)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/discovery"
@@ -498,3 +502,22 @@
 		assert.Equal(t, serve(100, 11), TooLarge)
 	})
 }
+
+// A server whose load reports cannot be read is used all the same, and the log says so
+// once, not with each answer.
+func TestUnreadableLoadReportsAreSaidOnceAServer(t *testing.T) {
+	var lines bytes.Buffer
+	file := settingsOf(t, hostSpec{"h1", "a1", "a"})
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), nil, func(w *world) {
+		w.log = zerolog.New(&lines)
+		w.start(file)
+		time.Sleep(time.Second)
+		w.leafs.set("single", func(_ context.Context, r *Request) (*Reply, error) {
+			return &Reply{Status: http.StatusOK, Signature: r.ID, Load: Load{Unreadable: "busy"}}, nil
+		})
+		for range 5 {
+			assert.Equal(t, w.ask("h1", "/one/x").Outcome, Forwarded)
+		}
+	})
+	assert.Equal(t, strings.Count(lines.String(), "load reports of a server cannot be read"), 1)
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -172,6 +172,9 @@
 	if i == replica.None {
 		return 0, false
 	}
+	if e.load.Slowness > 0 {
+		g.set.Slowed(i, e.load.Slowness, now)
+	}
 	if e.load.Known {
 		ran = g.set.Queued(i, e.load.Waiting, e.atServer, now)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,6 +45,9 @@
 	if ejected {
 		g.logEjected(c.backend, out.reason)
 	}
+	if out.load.Unreadable != "" {
+		g.logUnreadable(c.backend, out.load.Unreadable)
+	}
 	if evidence == callMoved {
 		g.requests.servers.Info().Str("server", c.backend.ID).Str("service", c.backend.Service).Msg("address belongs to another server: no more requests")
 		g.edges.Leafs.Forget(c.backend.Server)
@@ -56,6 +59,15 @@
 	g.requests.servers.Info().Str("server", b.ID).Str("service", b.Service).Str("reason", reason).Msg("server ejected after failures in a row")
 }
 
+// logUnreadable says, once for each server, that its load reports cannot be read.
+func (g *Gateway) logUnreadable(b *backend, report string) {
+	if b.saidUnreadable.Swap(true) {
+		return
+	}
+	g.requests.servers.Warn().Str("server", b.ID).Str("service", b.Service).Str("report", report).
+		Msg("load reports of a server cannot be read; it is used without them")
+}
+
 // workTime is the time that a call says something about the work of its server:
 // none where the server did not run it.
 func workTime(r result, elapsed time.Duration) time.Duration {
@@ -253,7 +265,7 @@
 		}
 	}
 	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
-	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting())}
+	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
 	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load}, now)
 	out.ran = ran
 	if ejected {
--- a/replica/set.go
+++ b/replica/set.go
@@ -70,8 +70,13 @@
 	queue    int
 	queueAt  time.Time
 	queueGap time.Duration
-	// work is the smoothed time that the leaf takes for a request, without its wait.
+	// work is the smoothed time that the leaf takes for a request, without its wait and on
+	// a machine that is as fast as usual.
 	work time.Duration
+	// slowness is how many times longer than usual work took on the leaf's machine when it
+	// last told, at slowAt.
+	slowness float64
+	slowAt   time.Time
 	// reported is what another host says of the latency, until reportedUntil.
 	reported      time.Duration
 	reportedUntil time.Time
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -24,8 +24,26 @@
 	idleAhead = 0.5
 	// workSmoothing is the weight of a new sample of the work of a request.
 	workSmoothing = 0.1
+	// slownessHalfLife is the time after which half of what a leaf told of the slowness of
+	// its machine is taken to be gone: neighbours there come and go several times a second.
+	slownessHalfLife = 200 * time.Millisecond
 )
 
+// Slowed takes in that a leaf told how many times longer than usual work takes on its
+// machine. The work of its requests is noted without that, so that a neighbour that left
+// makes the leaf slow for no longer than it was there.
+func (s *Set) Slowed(i int, factor float64, now time.Time) {
+	s.Leaves[i].slowness, s.Leaves[i].slowAt = factor, now
+}
+
+// slowFactor is how many times longer than usual work is expected to take.
+func (l *Leaf) slowFactor(now time.Time) float64 {
+	if l.slowness <= 0 {
+		return 1
+	}
+	return 1 + (l.slowness-1)*math.Exp2(-float64(now.Sub(l.slowAt))/float64(slownessHalfLife))
+}
+
 // Queued takes in that a leaf told of a queue of waiting requests with an answer
 // that took elapsed there, and returns how long the request ran. 0 for elapsed
 // says nothing about its work.
@@ -41,10 +59,11 @@
 	}
 	parallel := max(leaf.Parallel, 1)
 	sample := elapsed * time.Duration(parallel) / time.Duration(parallel+waiting)
+	usual := time.Duration(float64(sample) / leaf.slowFactor(now))
 	if leaf.work == 0 {
-		leaf.work = sample
+		leaf.work = usual
 	}
-	leaf.work += time.Duration(workSmoothing * float64(sample-leaf.work))
+	leaf.work += time.Duration(workSmoothing * float64(usual-leaf.work))
 	return sample
 }
 
@@ -74,7 +93,7 @@
 	if leaf.work == 0 {
 		return s.Expected(i, now)
 	}
-	run := leaf.work * time.Duration(1+leaf.cuts)
+	run := time.Duration(float64(leaf.work) * leaf.slowFactor(now) * float64(1+leaf.cuts))
 	if now.Before(leaf.reportedUntil) {
 		run = max(run, leaf.reported)
 	}
--- a/replica/wait_test.go
+++ b/replica/wait_test.go
@@ -45,6 +45,33 @@
 	}
 }
 
+// A neighbour on the machine makes a leaf four times slower for half a second. It is avoided
+// for that time, and its own work is not taken to have grown.
+func TestSlownessOfAMachineIsToldAndForgotten(t *testing.T) {
+	s := newSet(2, 4, replica.Observed)
+	now := start
+	for range 20 {
+		now = now.Add(50 * ms)
+		for i := range 2 {
+			s.Answered(i, 20*ms, now)
+			told(s, i, 0, now)
+		}
+	}
+	s.Slowed(0, 4, now)
+	s.Queued(0, 0, 80*ms, now)
+	expected, run := s.Soonest(now)
+	assert.Equal(t, expected, 20*ms)
+	assert.Equal(t, run, 20*ms)
+	for range 10 {
+		assert.Equal(t, s.Pick(now, 0, 0), 1)
+	}
+	s.Leaves[1].Leaving = true
+	_, run = s.Soonest(now)
+	assert.Equal(t, run, 80*ms)
+	_, run = s.Soonest(now.Add(2 * time.Second))
+	assert.Assert(t, run < 21*ms, "%v", run)
+}
+
 // Where all slots of this host are taken, the other hosts' are taken to be too.
 func TestFullServerMeansAWait(t *testing.T) {
 	s := newSet(1, 3, replica.Observed)
