Requests with homes stay in them: servers, hedges, retries and the hosts on the way

Cause: the regions that a route names as the only ones that may see its requests were not decoded, and nothing in the choice of a server or of a relay knew one.

Ruled out: a stale view (the requests came long after the version was in force).

Change: Route.Homes and one pure function, Homes.Allow, that says whether a region may see a request. It binds the choice of a server (first attempts, probes, retries, hedges), the hosts that requests are passed to, and what is expected of shards for admission and scarcity. As many shards as an answer needs must have a server that may see the request; otherwise it is refused at once, not run, with when to come back (cause no_home). A query whose homes hold enough of the shards answers with these.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -8,6 +8,7 @@
 
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/route"
 )
 
 // admit decides before any server is asked whether the servers have room for the
@@ -52,7 +53,7 @@
 func (q *query) serverWait(now time.Time) time.Duration {
 	waits := make([]time.Duration, 0, len(q.groups))
 	for _, g := range q.groups {
-		waits = append(waits, g.leastWait(now))
+		waits = append(waits, g.leastWait(q.entry.Homes, now))
 	}
 	slices.Sort(waits)
 	return waits[q.state.Needed()-1]
@@ -67,10 +68,10 @@
 
 // leastWait estimates how long a request would wait at the server where it waits
 // least.
-func (g *group) leastWait(now time.Time) time.Duration {
+func (g *group) leastWait(homes route.Homes, now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.set.LeastWait(now)
+	return g.set.LeastWait(g.outside(homes), now)
 }
 
 // overloaded reports whether requests are refused for want of room.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -58,6 +58,9 @@
 	CodeNoTime Code = "no_time"
 	// CodeNoServer: no server of the service is in service.
 	CodeNoServer Code = "no_server"
+	// CodeNoHome: no server of the service is in service in a region that may see the
+	// request.
+	CodeNoHome Code = "no_home"
 	// CodeOverloaded: the request would wait too long at the servers.
 	CodeOverloaded Code = "overloaded"
 	// CodeBusy: all servers of the service are busy.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,7 +64,7 @@
 	}
 	shards := make([]scarcity.Shard, len(q.groups))
 	for n, g := range q.groups {
-		expected, run := g.soonest(now)
+		expected, run := g.soonest(q.entry.Homes, now)
 		shards[n] = scarcity.Shard{State: q.stateOf(n, now), Run: run, Expected: expected}
 	}
 	return q.choice.Decide(shards, scarcity.Terms{Needed: q.state.Needed(), Spare: q.entry.Spare, Objective: q.objective, Left: q.left(now)})
@@ -104,12 +104,16 @@
 	return !c.share.Calls(name, domain) && q.view.Knows(name, domain)
 }
 
-// relays returns the hosts that calls to servers of a domain may go through.
+// relays returns the hosts that calls to servers of a domain may go through: those that may
+// see the request.
 func (q *query) relays(domain string, c *call) []control.Host {
 	if q.entry.Query != nil {
-		return q.view.Relays(domain, int(q.gateway.settings.GetRelay().GetHostsPerDomain()))
+		hosts := q.view.Relays(domain, int(q.gateway.settings.GetRelay().GetHostsPerDomain()))
+		return slices.DeleteFunc(slices.Clone(hosts), func(h control.Host) bool { return !q.entry.Homes.Allow(h.Region) })
 	}
-	return slices.DeleteFunc(slices.Clone(c.share.Callers()), func(h control.Host) bool { return !h.Whole })
+	return slices.DeleteFunc(slices.Clone(c.share.Callers()), func(h control.Host) bool {
+		return !h.Whole || !q.entry.Homes.Allow(h.Region)
+	})
 }
 
 // prepare takes a server and, for an extra attempt, a token of the budget.
@@ -121,7 +125,7 @@
 		kind = retryAttempt
 	}
 	g := q.groups[need.Shard]
-	c, err := g.pick(now, pickOptions{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion, probeEvery: q.probeEvery(), due: replica.Due{Objective: q.objective, Left: left}})
+	c, err := g.pick(now, pickOptions{tried: q.tried[need.Shard], hedge: need.Hedge, region: q.farRegion, probeEvery: q.probeEvery(), homes: q.entry.Homes, due: replica.Due{Objective: q.objective, Left: left}})
 	if err != nil {
 		q.postpone(need, err, now)
 		return attempt{}, false
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/replica"
+	"github.com/mallowgap/mallowgap/route"
 )
 
 // call is a slot taken on a server for one request.
@@ -32,25 +34,28 @@
 	probeEvery time.Duration
 	// due is when the part is wanted.
 	due replica.Due
+	// homes are the regions whose servers may see the request.
+	homes route.Homes
 }
 
 // pick takes a slot on the server that should get a request at now.
 func (g *group) pick(now time.Time, w pickOptions) (*call, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	exclude := g.mask(w.tried)
+	away := g.outside(w.homes)
+	exclude := away | g.mask(w.tried)
 	if !g.set.Reachable(exclude) {
-		if w.hedge || !g.set.Reachable(0) {
+		if w.hedge || !g.set.Reachable(away) {
 			return nil, errNoServer
 		}
-		exclude = 0
+		exclude = away
 	}
 	i := replica.None
 	if !w.hedge && len(w.tried) == 0 {
 		i = g.set.Probe(now, exclude, w.probeEvery)
 	}
 	if i == replica.None {
-		i = g.pickFar(now, w.region, exclude)
+		i = g.pickFar(now, w.region, away, exclude)
 	}
 	if i == replica.None {
 		i = g.set.Pick(now, 0, exclude)
@@ -69,10 +74,10 @@
 
 // soonest estimates after what time a request would have run at the server that brings it
 // first, and how long it would run there; 0 is unknown.
-func (g *group) soonest(now time.Time) (expected, run time.Duration) {
+func (g *group) soonest(homes route.Homes, now time.Time) (expected, run time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.set.Soonest(now)
+	return g.set.Soonest(g.outside(homes), now)
 }
 
 // take takes a slot on one given server.
@@ -94,7 +99,7 @@
 
 // pickFar picks among the servers of one far region where none is nearer,
 // unless another far server is expected to answer much sooner.
-func (g *group) pickFar(now time.Time, region string, exclude uint64) int {
+func (g *group) pickFar(now time.Time, region string, away, exclude uint64) int {
 	if region == "" {
 		return replica.None
 	}
@@ -110,18 +115,18 @@
 		return replica.None
 	}
 	i := g.set.Pick(now, 0, exclude)
-	if i == replica.None || g.muchSlower(i, now) {
+	if i == replica.None || g.muchSlower(i, away, now) {
 		return replica.None
 	}
 	return i
 }
 
-// muchSlower reports whether another server is expected to answer in much less
-// time than the i-th.
-func (g *group) muchSlower(i int, now time.Time) bool {
+// muchSlower reports whether another server, but for those that are away, is expected to
+// answer in much less time than the i-th.
+func (g *group) muchSlower(i int, away uint64, now time.Time) bool {
 	own := g.set.Expected(i, now)
 	for j := range g.members {
-		if j != i && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)))+slowerMargin {
+		if j != i && away&(1<<j) == 0 && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)))+slowerMargin {
 			return true
 		}
 	}
@@ -140,11 +145,22 @@
 	return mask
 }
 
-// size returns the number of servers in service.
-func (g *group) size() int {
+// outside is the set of servers that may not see a request with homes.
+func (g *group) outside(homes route.Homes) uint64 {
+	var mask uint64
+	for i, b := range g.members {
+		if !homes.Allow(b.region) {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+// size returns the number of servers in service that may see a request with homes.
+func (g *group) size(homes route.Homes) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.members)
+	return len(g.members) - bits.OnesCount64(g.outside(homes))
 }
 
 // callEnd is what became of a call.
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -151,14 +151,16 @@
 	return len(q.leftOut) > 0 && q.state.Enough() && !q.running() && len(q.leftOut) == len(q.state.MissingShards())
 }
 
-// anyServer reports whether some service of the request has a server.
-func (q *query) anyServer() bool {
+// enoughServers reports whether as many shards as an answer needs have a server that may
+// see the request.
+func (q *query) enoughServers() bool {
+	served := 0
 	for _, g := range q.groups {
-		if g.size() > 0 {
-			return true
+		if g.size(q.entry.Homes) > 0 {
+			served++
 		}
 	}
-	return false
+	return served >= q.state.Needed()
 }
 
 // release ends the calls that still run: at once where the caller has left,
@@ -255,7 +257,7 @@
 		q.state.Refused(r.shard)
 		q.refusals++
 	}
-	if len(q.tried[r.shard]) >= q.groups[r.shard].size() {
+	if len(q.tried[r.shard]) >= q.groups[r.shard].size(q.entry.Homes) {
 		q.lookAgain(r.shard, r.wait, now)
 	}
 	for _, n := range q.leftOut {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/mallowgap/mallowgap/fanout"
@@ -100,8 +101,8 @@
 	if !time.Now().Before(p.end) {
 		return notRun(CodeNoTime, "no time is left", comeBack)
 	}
-	if !p.anyServer() {
-		return notRun(CodeNoServer, errNoServer.Error(), p.retryAfter())
+	if !p.enoughServers() {
+		return p.noServers()
 	}
 	if refused, ok := p.admit(time.Now()); !ok {
 		return refused
@@ -109,6 +110,14 @@
 	return p.finish(p.run(ctx))
 }
 
+// noServers refuses a request that no server may serve now.
+func (q *query) noServers() Answer {
+	if len(q.entry.Homes) > 0 {
+		return notRun(CodeNoHome, fmt.Sprintf("no server in service stands in a home of the route (%v)", q.entry.Homes), q.retryAfter())
+	}
+	return notRun(CodeNoServer, errNoServer.Error(), q.retryAfter())
+}
+
 // plan says how a request is served: as a query over shards, or as one over the
 // single shard that the chosen service is.
 func (g *Gateway) plan(v *control.View, entry *route.Entry, r *Request, t *trace) *query {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -56,7 +56,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{t: t, store: fakestore.New(), hosts: map[string]*Gateway{}, ctx: ctx}
 		w.leafs = &fakeLeafs{behave: map[string]behaviour{}, served: map[string]int{}, requests: map[string][]arrival{}}
-		w.peers = &fakePeers{world: w, cut: map[string]bool{}}
+		w.peers = &fakePeers{world: w, cut: map[string]bool{}, passed: map[string]int{}}
 		w.store.PutConfig(config)
 		for _, s := range servers {
 			w.store.PutServer(s)
@@ -252,6 +252,15 @@
 	// cut holds the addresses whose calls hang.
 	cut     map[string]bool
 	gathers atomic.Int64
+	// passed counts the requests passed to a host, by its address.
+	passed map[string]int
+}
+
+// passedTo returns the number of requests passed to a host.
+func (p *fakePeers) passedTo(g *Gateway) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.passed[g.self.GetAddress()]
 }
 
 func (p *fakePeers) add(address string, g *Gateway) {
@@ -279,6 +288,9 @@
 func (p *fakePeers) Gather(ctx context.Context, address string, m *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error {
 	g, cut := p.find(address)
 	p.gathers.Add(1)
+	p.mu.Lock()
+	p.passed[address]++
+	p.mu.Unlock()
 	if g == nil || cut {
 		<-ctx.Done()
 		return ctx.Err()
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -157,11 +157,12 @@
 
 // Soonest estimates after what time a request would have run at the leaf that brings it
 // first, and how long it would run there; 0 is unknown, as of one that has just started, and
-// good. Where all are ejected or none is left both are never.
-func (s *Set) Soonest(now time.Time) (expected, run time.Duration) {
+// good. Where all are ejected or none is left both are never. The leaves in the bit set
+// exclude do not count.
+func (s *Set) Soonest(exclude uint64, now time.Time) (expected, run time.Duration) {
 	expected, run = math.MaxInt64, math.MaxInt64
 	for i := range s.Leaves {
-		if !s.usable(i, now, 0) || s.Ejected(i, now) {
+		if !s.usable(i, now, exclude) || s.Ejected(i, now) {
 			continue
 		}
 		own := s.runTime(i, now)
@@ -180,11 +181,11 @@
 }
 
 // LeastWait estimates how long a request would wait at the leaf where it waits
-// least, of those that may be used.
-func (s *Set) LeastWait(now time.Time) time.Duration {
+// least, of those that may be used and are not in the bit set exclude.
+func (s *Set) LeastWait(exclude uint64, now time.Time) time.Duration {
 	least := time.Duration(-1)
 	for i := range s.Leaves {
-		if !s.usable(i, now, 0) {
+		if !s.usable(i, now, exclude) {
 			continue
 		}
 		if wait := s.Wait(i, now); least < 0 || wait < least {
--- a/replica/wait_test.go
+++ b/replica/wait_test.go
@@ -25,7 +25,7 @@
 	told(s, 1, 0, start)
 	assert.Equal(t, s.Pick(start, 0, 0), 1)
 	assert.Equal(t, s.Wait(0, start), 6*20*ms)
-	assert.Equal(t, s.LeastWait(start), time.Duration(0))
+	assert.Equal(t, s.LeastWait(0, start), time.Duration(0))
 }
 
 // A host of a large fleet hears of one server every half second: of three servers
@@ -40,8 +40,8 @@
 				told(s, i, 6, now)
 			}
 		}
-		assert.Assert(t, s.LeastWait(now.Add(gap)) > 60*ms, "%v after %v", s.LeastWait(now.Add(gap)), gap)
-		assert.Assert(t, s.LeastWait(now.Add(10*gap+2*time.Second)) < 10*ms, "a queue that nothing is heard of lasts for ever")
+		assert.Assert(t, s.LeastWait(0, now.Add(gap)) > 60*ms, "%v after %v", s.LeastWait(0, now.Add(gap)), gap)
+		assert.Assert(t, s.LeastWait(0, now.Add(10*gap+2*time.Second)) < 10*ms, "a queue that nothing is heard of lasts for ever")
 	}
 }
 
@@ -59,16 +59,16 @@
 	}
 	s.Slowed(0, 4, now)
 	s.Queued(0, 0, 80*ms, now)
-	expected, run := s.Soonest(now)
+	expected, run := s.Soonest(0, now)
 	assert.Equal(t, expected, 20*ms)
 	assert.Equal(t, run, 20*ms)
 	for range 10 {
 		assert.Equal(t, s.Pick(now, 0, 0), 1)
 	}
 	s.Leaves[1].Leaving = true
-	_, run = s.Soonest(now)
+	_, run = s.Soonest(0, now)
 	assert.Equal(t, run, 80*ms)
-	_, run = s.Soonest(now.Add(2 * time.Second))
+	_, run = s.Soonest(0, now.Add(2*time.Second))
 	assert.Assert(t, run < 21*ms, "%v", run)
 }
 
--- a/route/config.go
+++ b/route/config.go
@@ -33,6 +33,8 @@
 	Targets []Target
 	// Query is set where requests are spread over a set of shards.
 	Query *Query
+	// Homes are the regions in which a request may be served or held.
+	Homes Homes
 }
 
 // Target is one of the services of a route, with its share of the requests.
