Evacuations, servers that start again under their identifier, and entries of other writers

Change: an entry of its own kind, known by its key alone, goes the way of all others (reader, followers, peers, readings after a compaction). The registry marks the servers of the domain; nothing more is chosen or relayed there, what runs ends by itself. Taken back, its servers are new to the gateway and cold for the service's cold time. Where nobody else can serve, requests are refused at once with the cause evacuated.

Identifier used again. Cause: born was not read, so queues, slots in use, ejection and cold time of the former process stayed. Change: an entry with a later birth is a new server, its idle connections are closed; one with an earlier birth changes nothing.

Entries of other writers. Cause: an entry that could not be read left the older one under its key in use; any state but draining counted as ready; one value that was no base64 text made the whole page unreadable.

Ruled out: reading the value of an evacuation (it may be 1 MB; the key says it all).

--- a/discovery/registry.go
+++ b/discovery/registry.go
@@ -13,7 +13,7 @@
 
 // Server is one running server as its registration describes it.
 type Server struct {
-	// ID names this start of the server.
+	// ID names the server. Another process may start under the same one: then Born differs.
 	ID      string
 	Service string
 	// Address is where it is called, IP:port. It may be used again by another
@@ -27,8 +27,19 @@
 	Draining bool
 	// Cold is for how much longer it is slow after its start, when registered.
 	Cold time.Duration
+	// ColdUntil is when it is slow no longer, as far as the registry knows; zero is never
+	// slow. The registry sets it.
+	ColdUntil time.Time
+	// Born is when its process started, in milliseconds of Unix time; 0 is unknown.
+	Born int64
+	// Evacuated servers stand in a failure domain that is to get nothing. The registry sets
+	// it.
+	Evacuated bool
 }
 
+// Replaces reports whether the server is a later process under the identifier of another.
+func (s Server) Replaces(other Server) bool { return s.Born > other.Born && other.Born > 0 }
+
 type entry struct {
 	server Server
 	// missing is set where the entry lapsed in an outage of the store.
@@ -43,10 +54,14 @@
 	// trustFrom is when missing entries count as gone again.
 	trustFrom time.Time
 	loaded    bool
+	// evacuated are the failure domains whose servers are to get nothing.
+	evacuated map[string]bool
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{entries: map[string]*entry{}} }
+func NewRegistry() *Registry {
+	return &Registry{entries: map[string]*entry{}, evacuated: map[string]bool{}}
+}
 
 // Loaded reports whether all registrations were read at least once.
 func (r *Registry) Loaded() bool { return r.loaded }
@@ -64,11 +79,60 @@
 	return true
 }
 
-// Put takes a registration in.
-func (r *Registry) Put(server Server) {
+// Put takes a registration in, and reports whether it counts: that of an earlier process
+// than the one known does not. One that does not tell when its process started is of the
+// process known.
+func (r *Registry) Put(server Server, now time.Time) bool {
+	if known, ok := r.entries[server.ID]; ok {
+		if server.Born == 0 {
+			server.Born = known.server.Born
+		}
+		if known.server.Replaces(server) {
+			return false
+		}
+	}
+	server.ColdUntil = time.Time{}
+	if server.Cold > 0 {
+		server.ColdUntil = now.Add(server.Cold)
+	}
 	r.entries[server.ID] = &entry{server: server}
+	return true
+}
+
+// Drop takes a server out whose registration cannot be read, and reports whether it was
+// known.
+func (r *Registry) Drop(id string) bool {
+	_, known := r.entries[id]
+	delete(r.entries, id)
+	return known
 }
 
+// Evacuate notes that the servers of a failure domain are to get nothing, and reports
+// whether that is news.
+func (r *Registry) Evacuate(domain string) bool {
+	news := !r.evacuated[domain]
+	r.evacuated[domain] = true
+	return news
+}
+
+// Restore takes an evacuation back, and reports whether there was one. The servers may have
+// become cold meanwhile; coldFor tells for how long those of a service are then.
+func (r *Registry) Restore(domain string, coldFor func(service string) time.Duration, now time.Time) bool {
+	if !r.evacuated[domain] {
+		return false
+	}
+	delete(r.evacuated, domain)
+	for _, e := range r.entries {
+		if until := now.Add(coldFor(e.server.Service)); e.server.Domain == domain && until.After(e.server.ColdUntil) {
+			e.server.ColdUntil = until
+		}
+	}
+	return true
+}
+
+// Evacuated returns the failure domains whose servers are to get nothing, sorted.
+func (r *Registry) Evacuated() []string { return slices.Sorted(maps.Keys(r.evacuated)) }
+
 // Server returns a server by its identifier.
 func (r *Registry) Server(id string) (Server, bool) {
 	e, ok := r.entries[id]
@@ -116,7 +180,9 @@
 func (r *Registry) Servers() []Server {
 	servers := make([]Server, 0, len(r.entries))
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
-		servers = append(servers, r.entries[id].server)
+		server := r.entries[id].server
+		server.Evacuated = r.evacuated[server.Domain]
+		servers = append(servers, server)
 	}
 	return servers
 }
--- a/discovery/registry_test.go
+++ b/discovery/registry_test.go
@@ -22,7 +22,7 @@
 
 func put(r *discovery.Registry, ids ...string) {
 	for _, id := range ids {
-		r.Put(discovery.Server{ID: id})
+		r.Put(discovery.Server{ID: id}, start)
 	}
 }
 
@@ -42,7 +42,7 @@
 	r.Remove("a", back)
 	r.Remove("b", back)
 	assert.DeepEqual(t, ids(r), []string{"a", "b", "c"})
-	r.Put(discovery.Server{ID: "a"})
+	r.Put(discovery.Server{ID: "a"}, back)
 	assert.Equal(t, len(r.Expire(back.Add(time.Second))), 0)
 	gone := r.Expire(back.Add(discovery.ReturnGrace))
 	assert.Equal(t, len(gone), 1)
@@ -51,9 +51,59 @@
 	assert.DeepEqual(t, ids(r), []string{"a"})
 }
 
+// A server starts again under its identifier: the entry of the process before, which comes
+// late, changes nothing.
+func TestLaterProcessUnderTheSameIdentifier(t *testing.T) {
+	r := discovery.NewRegistry()
+	first := discovery.Server{ID: "a", Service: "old", Born: 1000}
+	second := discovery.Server{ID: "a", Service: "new", Born: 2000}
+	assert.Assert(t, r.Put(first, start) && r.Put(second, start))
+	assert.Assert(t, second.Replaces(first) && !first.Replaces(second) && !second.Replaces(second))
+	assert.Assert(t, !r.Put(first, start), "the entry of an earlier process")
+	s, _ := r.Server("a")
+	assert.Equal(t, s.Service, "new")
+	assert.Assert(t, r.Put(discovery.Server{ID: "a", Service: "newer"}, start), "one that does not tell when it started")
+	s, _ = r.Server("a")
+	assert.Assert(t, s.Service == "newer" && s.Born == 2000)
+	assert.Assert(t, !s.Replaces(discovery.Server{ID: "a"}), "nothing is known of the one before")
+}
+
+func TestUnreadableRegistrationNamesNoServer(t *testing.T) {
+	r := discovery.NewRegistry()
+	put(r, "a", "b")
+	assert.Assert(t, r.Drop("a") && !r.Drop("x"))
+	assert.DeepEqual(t, ids(r), []string{"b"})
+	put(r, "a")
+	assert.DeepEqual(t, ids(r), []string{"a", "b"})
+}
+
+func TestEvacuationAndItsEnd(t *testing.T) {
+	r := discovery.NewRegistry()
+	r.Put(discovery.Server{ID: "a", Service: "s", Domain: "x"}, start)
+	r.Put(discovery.Server{ID: "b", Service: "s", Domain: "y"}, start)
+	coldFor := func(string) time.Duration { return 3 * time.Second }
+	assert.Assert(t, !r.Restore("x", coldFor, start), "not asked for")
+	assert.Assert(t, r.Evacuate("x") && !r.Evacuate("x") && r.Evacuate("nowhere"))
+	assert.Assert(t, r.Servers()[0].Evacuated && !r.Servers()[1].Evacuated)
+	r.Put(discovery.Server{ID: "c", Service: "s", Domain: "x"}, start)
+	assert.Assert(t, r.Servers()[2].Evacuated, "one that starts there meanwhile")
+	assert.Assert(t, r.Restore("x", coldFor, start) && !r.Restore("x", coldFor, start))
+	assert.Assert(t, !r.Servers()[0].Evacuated)
+	assert.Equal(t, r.Servers()[0].ColdUntil, start.Add(3*time.Second))
+	assert.Assert(t, r.Servers()[1].ColdUntil.IsZero())
+}
+
+func TestColdTimeCountsFromTheRegistration(t *testing.T) {
+	r := discovery.NewRegistry()
+	r.Put(discovery.Server{ID: "a", Cold: 2 * time.Second}, start)
+	assert.Equal(t, r.Servers()[0].ColdUntil, start.Add(2*time.Second))
+	r.Put(discovery.Server{ID: "a"}, start.Add(time.Second))
+	assert.Assert(t, r.Servers()[0].ColdUntil.IsZero())
+}
+
 func ExampleRegistry() {
 	r := discovery.NewRegistry()
-	r.Put(discovery.Server{ID: "i-1", Service: "tags", Address: "10.0.0.1:80"})
+	r.Put(discovery.Server{ID: "i-1", Service: "tags", Address: "10.0.0.1:80"}, time.Now())
 	fmt.Println(discovery.ByService(r.Servers())["tags"][0].Address)
 	// Output: 10.0.0.1:80
 }
@@ -61,7 +111,7 @@
 func BenchmarkServers(b *testing.B) {
 	r := discovery.NewRegistry()
 	for i := range 1000 {
-		r.Put(discovery.Server{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("s", i%100)})
+		r.Put(discovery.Server{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("s", i%100)}, start)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/control/fakestore/fakestore.go
+++ b/internal/control/fakestore/fakestore.go
@@ -119,6 +119,16 @@
 	s.Apply(control.Entry{Kind: relaypb.EntryKind_SERVER, Name: id, Removed: true})
 }
 
+// PutRaw writes an entry of a server with any value.
+func (s *Store) PutRaw(id string, value []byte) {
+	s.Apply(control.Entry{Kind: relaypb.EntryKind_SERVER, Name: id, Value: value})
+}
+
+// Evacuate asks for the evacuation of a failure domain, or takes it back.
+func (s *Store) Evacuate(domain string, asked bool) {
+	s.Apply(control.Entry{Kind: relaypb.EntryKind_EVACUATION, Name: domain, Removed: !asked})
+}
+
 // SetDown makes all calls fail, or work again.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -36,6 +36,8 @@
 	log      zerolog.Logger
 	// details is for lines about single entries, bounded a second.
 	details zerolog.Logger
+	// unreadable is for lines about entries that cannot be read, bounded a second.
+	unreadable zerolog.Logger
 	// self is the entry of this host.
 	self    Host
 	tally   tally
@@ -85,7 +87,7 @@
 func newState(decode Decoder, listener Listener, self Host, relays int, log zerolog.Logger) *state {
 	c := &state{
 		decode: decode, listener: listener, self: self, relays: relays,
-		log: log, details: obs.Bounded(log, detailsPerSecond),
+		log: log, details: obs.Bounded(log, detailsPerSecond), unreadable: obs.Bounded(log, detailsPerSecond),
 		actions:  make(chan func()),
 		registry: discovery.NewRegistry(), hosts: map[string]Host{}, lapsed: map[string]bool{}, entries: map[entryKey]Entry{},
 		changed: make(chan struct{}), started: make(chan struct{}),
@@ -220,9 +222,33 @@
 		s.applyServer(e, now)
 	case relaypb.EntryKind_HOST:
 		s.applyHost(e, now)
+	case relaypb.EntryKind_EVACUATION:
+		s.applyEvacuation(e, now)
 	}
 }
 
+// applyEvacuation takes in that the servers of a failure domain are to get nothing, or that
+// this is taken back. What runs there ends by itself.
+func (s *state) applyEvacuation(e Entry, now time.Time) {
+	if e.Removed {
+		if s.registry.Restore(e.Name, s.coldFor, now) {
+			s.log.Info().Str("domain", e.Name).Uint64("revision", e.Revision).Msg("evacuation ended: the servers of the domain are used again, as cold ones")
+		}
+		return
+	}
+	if s.registry.Evacuate(e.Name) {
+		s.log.Info().Str("domain", e.Name).Uint64("revision", e.Revision).Msg("evacuation: nothing more is sent to the servers of the domain")
+	}
+}
+
+// coldFor is for how long servers of a service are cold after their start.
+func (s *state) coldFor(service string) time.Duration {
+	if table := s.holder.Table(); table != nil {
+		return table.Service(service).ColdFor
+	}
+	return 0
+}
+
 func (s *state) applyConfig(e Entry, now time.Time) {
 	config, err := s.decode.DecodeConfig(e.Value)
 	if err != nil {
@@ -259,10 +285,14 @@
 	}
 	server, err := s.decode.DecodeServer(e.Name, e.Value)
 	if err != nil {
-		s.log.Error().Err(err).Str("server", e.Name).Uint64("revision", e.Revision).Msg("server entry cannot be decoded; it is left out")
+		s.unreadable.Warn().Err(err).Str("server", e.Name).Uint64("revision", e.Revision).Bool("was_in_use", s.registry.Drop(e.Name)).
+			Msg("server entry cannot be read: it names no server to use until it can")
+		return
+	}
+	if !s.registry.Put(server, now) {
+		s.details.Info().Str("server", e.Name).Int64("born", server.Born).Uint64("revision", e.Revision).Msg("entry of an earlier process of the server is left alone")
 		return
 	}
-	s.registry.Put(server)
 	s.tally.servers++
 	if server.Draining {
 		s.tally.draining++
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -61,6 +61,8 @@
 	// CodeNoHome: no server of the service is in service in a region that may see the
 	// request.
 	CodeNoHome Code = "no_home"
+	// CodeEvacuated: the failure domains of all servers of a service are evacuated.
+	CodeEvacuated Code = "evacuated"
 	// CodeOverloaded: the request would wait too long at the servers.
 	CodeOverloaded Code = "overloaded"
 	// CodeBusy: all servers of the service are busy.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -72,7 +72,9 @@
 	mu      sync.Mutex
 	set     *replica.Set
 	members []*backend
-	window  *retry.Window
+	// evacuated tells that the failure domain of some server is to get nothing.
+	evacuated bool
+	window    *retry.Window
 	// gate decides about the requests of which this is the first service.
 	gate *admission.Gate
 	// calls is the time of calls to the servers.
@@ -161,18 +163,26 @@
 	return f.byID[id]
 }
 
-// update takes the servers now registered. shares gives this host's part
-// of a server.
-func (f *fleet) update(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) {
+// update takes the servers now registered, and returns those that are later processes than
+// the ones known before under their identifiers. shares gives this host's part of a server.
+func (f *fleet) update(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) (restarted []discovery.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	previous := f.byID
 	f.byID = make(map[string]*backend, len(servers))
 	members := map[string][]*backend{}
+	evacuated := map[string]bool{}
 	for _, s := range servers {
-		b := adopt(previous[s.ID], s, f.location, shares(s), now)
+		old := previous[s.ID]
+		if old != nil && startsAnew(s, old.Server) {
+			old.retire(f.groupLocked(old.Service))
+			old = nil
+			restarted = append(restarted, s)
+		}
+		b := adopt(old, s, f.location, shares(s), now)
 		f.byID[s.ID] = b
-		if s.Draining {
+		evacuated[s.Service] = evacuated[s.Service] || s.Evacuated
+		if s.Draining || s.Evacuated {
 			b.retire(f.groupLocked(s.Service))
 		} else if len(members[s.Service]) < maxReplicas {
 			members[s.Service] = append(members[s.Service], b)
@@ -187,8 +197,15 @@
 		f.groupLocked(service)
 	}
 	for service, g := range f.groups {
-		g.replace(members[service])
+		g.replace(members[service], evacuated[service])
 	}
+	return restarted
+}
+
+// startsAnew reports whether what was observed of a server before says nothing about it now:
+// it is a later process, or its failure domain was evacuated in between.
+func startsAnew(s, before discovery.Server) bool {
+	return s.Replaces(before) || before.Evacuated && !s.Evacuated
 }
 
 // adopt returns the backend for a registration, keeping what was observed.
@@ -199,7 +216,7 @@
 	} else {
 		b.saidUnreadable = &atomic.Bool{}
 		b.leaf = &replica.Leaf{Address: s.Address, Domain: s.Domain, Slots: limit.NewSlots(p.slots(own)), Sharers: own.Hosts, Distance: p.distance(s.Domain), Parallel: max(s.Slots, 1)}
-		if s.Cold > 0 {
+		if now.Before(s.ColdUntil) {
 			b.leaf.Slots.Restarted(now)
 		}
 	}
@@ -213,9 +230,10 @@
 	b.leaf.Leaving = true
 }
 
-func (g *group) replace(members []*backend) {
+func (g *group) replace(members []*backend, evacuated bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.evacuated = evacuated
 	if sameMembers(g.members, members) {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,10 @@
 
 // ServersChanged implements control.Listener.
 func (l listener) ServersChanged(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) {
-	l.gateway.fleet.update(servers, shares, now)
+	for _, restarted := range l.gateway.fleet.update(servers, shares, now) {
+		l.gateway.requests.servers.Info().Str("server", restarted.ID).Str("service", restarted.Service).Int64("born", restarted.Born).Msg("server starts anew: what was observed of it is forgotten")
+		go l.gateway.edges.Leafs.Forget(restarted)
+	}
 	l.gateway.fleet.setShares(shares)
 }
 
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -156,6 +156,13 @@
 	return mask
 }
 
+// isEvacuated reports whether the failure domain of some server is evacuated.
+func (g *group) isEvacuated() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuated
+}
+
 // size returns the number of servers in service that may see a request with homes.
 func (g *group) size(homes route.Homes) int {
 	g.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -115,6 +115,11 @@
 	if len(q.entry.Homes) > 0 {
 		return notRun(CodeNoHome, fmt.Sprintf("no server in service stands in a home of the route (%v)", q.entry.Homes), q.retryAfter())
 	}
+	for _, g := range q.groups {
+		if g.isEvacuated() && g.size(nil) == 0 {
+			return notRun(CodeEvacuated, "the failure domains of all servers of "+g.service+" are evacuated", q.retryAfter())
+		}
+	}
 	return notRun(CodeNoServer, errNoServer.Error(), q.retryAfter())
 }
 
--- a/route/config.go
+++ b/route/config.go
@@ -59,6 +59,13 @@
 	// MaxConns is the number of connections that one server accepts from all
 	// hosts together; 0 is unknown.
 	MaxConns int
+	// ColdFor is for how long a server is cold after its start; 0 is unknown.
+	ColdFor time.Duration
+	// ColdPerSecond is the number of requests a second that a cold server tolerates from
+	// all hosts together; 0 is unknown, and no bound.
+	ColdPerSecond float64
+	// Odd names the fields of the service that could not be read; they are unknown.
+	Odd []string
 }
 
 // Limits bound what a caller may send; 0 is no bound.
--- a/route/validate.go
+++ b/route/validate.go
@@ -9,14 +9,17 @@
 // InvalidError says which value of a configuration cannot be used, and why.
 type InvalidError struct {
 	Version uint64
-	// Route is the name of the route, or empty.
-	Route  string
-	Field  string
-	Remedy string
+	// Route is the name of the route, or empty; Service that of the service.
+	Route, Service string
+	Field          string
+	Remedy         string
 }
 
 // Error names the value and the remedy.
 func (e *InvalidError) Error() string {
+	if e.Service != "" {
+		return fmt.Sprintf("configuration %d: service %q: %s is not usable: %s", e.Version, e.Service, e.Field, e.Remedy)
+	}
 	return fmt.Sprintf("configuration %d: route %q: %s is not usable: %s", e.Version, e.Route, e.Field, e.Remedy)
 }
 
@@ -39,6 +42,11 @@
 			warn("objective", "the timeout is used instead; give a time that is not longer")
 		}
 	}
+	for _, s := range c.Services {
+		for _, field := range s.Odd {
+			warnings = append(warnings, &InvalidError{Version: c.Version, Service: s.Name, Field: field, Remedy: "it is taken to be unknown; give 0 or a positive number"})
+		}
+	}
 	return warnings
 }
 
