All hosts together send a cold server no more than it takes

Cause: cold_per_s was not decoded; each host ramped a server that starts by itself, so what 60 hosts sent was bounded by nothing. Not yet seen broken: the deployments at hand name no rate.

Ruled out: a token that one host deals out (it must be there after a power loss of all, behind cuts and while the store is away; what it deals out outlives it).

Ways: (1) an equal share of the bound for every host: 60 hosts with one request each pass a bound of 20. (2) an equal share for a few callers that every host works out alike from the store's list, kept: with 10 a second, an excess of 1.5 and a slack of 5 it is three relays with 3 a second each. A caller waits two seconds after it became one, so that hosts that start together have settled on the same ones, and starts without a token; a part of 0.6 is used, so that half as many callers again stay below the bound. Servers that are not cold go first, cold ones are for what finds no other. Hedges never go to a cold server.

--- a/internal/control/callers.go
+++ b/internal/control/callers.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/limit"
 	"github.com/mallowgap/mallowgap/rendezvous"
 )
 
@@ -44,6 +45,9 @@
 // quota returns how many of n hosts are of a domain. Where n is less than the number of
 // domains, some have none; which ones differs from server to server.
 func (c *chooser) quota(server, domain string, n int) int {
+	if len(c.domains) == 0 {
+		return 0
+	}
 	each := n / len(c.domains)
 	if rest := n % len(c.domains); rest > 0 {
 		var members []rendezvous.Member
@@ -100,6 +104,10 @@
 	Conns int
 	// Hosts is the number of hosts that call the server.
 	Hosts int
+	// Cold is what the server takes from all hosts together while it is cold.
+	Cold limit.ColdBound
+	// hosts chooses among all hosts.
+	hosts *chooser
 	// relays are the hosts that call a shard; not nil for shards only.
 	relays []Host
 	// chooser chooses the hosts that call another server; nil where all do.
@@ -116,6 +124,19 @@
 	return s.relays
 }
 
+// ColdCallers returns the number of hosts that call the server while it is cold.
+func (s Share) ColdCallers() int { return s.Cold.Callers(s.Hosts) }
+
+// CallsCold reports whether a host calls the server itself while it is cold: one of a few
+// that the store names.
+func (s Share) CallsCold(name, domain string) bool {
+	n := s.ColdCallers()
+	if s.relays != nil {
+		return slices.ContainsFunc(s.relays[:min(n, len(s.relays))], func(h Host) bool { return h.Name == name })
+	}
+	return s.hosts != nil && slices.ContainsFunc(s.hosts.in(s.server.ID, domain, n), func(h Host) bool { return h.Name == name })
+}
+
 // Calls reports whether a host calls the server itself.
 func (s Share) Calls(name, domain string) bool {
 	among := s.relays
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/api/settingspb"
+	"github.com/mallowgap/mallowgap/limit"
 )
 
 // Config is what a Control is made of.
@@ -22,10 +23,12 @@
 	Seeds []string
 	// RelaysPerDomain is the number of hosts of a failure domain that call its servers.
 	RelaysPerDomain int
-	Store           Store
-	Peers           Peers
-	Listener        Listener
-	Log             zerolog.Logger
+	// Cold is what a cold server takes, but for what its service says of it.
+	Cold     limit.ColdBound
+	Store    Store
+	Peers    Peers
+	Listener Listener
+	Log      zerolog.Logger
 }
 
 // Control follows the store and the peers of one host.
@@ -75,6 +78,7 @@
 		better:  make(chan struct{}, 1),
 		leave:   make(chan struct{}),
 	}
+	c.state.cold = config.Cold
 	c.announce = newAnnouncer(c, config.Settings.GetLease().AsDuration())
 	return c
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -11,6 +11,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/obs"
+	"github.com/mallowgap/mallowgap/limit"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -33,7 +34,9 @@
 	decode   Decoder
 	listener Listener
 	relays   int
-	log      zerolog.Logger
+	// cold is what a cold server takes, but for what its service says of it.
+	cold limit.ColdBound
+	log  zerolog.Logger
 	// details is for lines about single entries, bounded a second.
 	details zerolog.Logger
 	// unreadable is for lines about entries that cannot be read, bounded a second.
@@ -402,7 +405,7 @@
 	v := &View{
 		Table: s.holder.Table(), TableSince: s.tableSince, Hosts: s.byDomain(), Count: len(s.hosts),
 		farRegions: otherRegions(s.hosts, s.self.Region),
-		StoreLost:  s.storeLost, Revision: s.revision,
+		StoreLost:  s.storeLost, Revision: s.revision, cold: s.cold,
 	}
 	v.chooser, v.Sharers = s.chooser, s.countSharers(now)
 	v.Known = v.Table != nil && s.registry.Loaded()
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/limit"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -58,6 +59,8 @@
 	StoreLost time.Time
 	// Revision is that of the store up to which all is known.
 	Revision uint64
+	// cold is what a cold server takes, but for what its service says of it.
+	cold limit.ColdBound
 }
 
 // revisions returns the revisions of the entries of all hosts.
@@ -159,19 +162,20 @@
 	if v.Table == nil {
 		return Share{Conns: defaultConns, Hosts: 1}
 	}
-	limit := v.Table.Service(s.Service).MaxConns
-	own := Share{Conns: defaultConns, Hosts: max(v.Count, 1)}
+	service := v.Table.Service(s.Service)
+	own := Share{Conns: defaultConns, Hosts: max(v.Count, 1), Cold: v.cold, hosts: v.chooser, server: s}
+	own.Cold.PerSecond = service.ColdPerSecond
 	usable := v.Count
-	if limit > 0 {
-		usable = max(int(connShare*float64(limit)), 1)
+	if service.MaxConns > 0 {
+		usable = max(int(connShare*float64(service.MaxConns)), 1)
 	}
 	if v.Table.IsShard(s.Service) {
 		own.relays = v.Relays(s.Domain, min(relaysPerDomain, usable))
 		own.Hosts = max(len(own.relays), 1)
 	} else if v.Count > usable {
-		own.chooser, own.server, own.Hosts = v.chooser, s, usable
+		own.chooser, own.Hosts = v.chooser, usable
 	}
-	if limit > 0 {
+	if service.MaxConns > 0 {
 		own.Conns = max(usable/own.Hosts, 1)
 	}
 	return own
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,6 +44,11 @@
 			direct = append(direct, a)
 		}
 	}
+	q.sendAll(ctx, direct, relayed, now)
+}
+
+// sendAll makes attempts: those by domain through a host there, if one can be had.
+func (q *query) sendAll(ctx context.Context, direct []attempt, relayed map[string][]attempt, now time.Time) {
 	for domain, attempts := range relayed {
 		relay, ok := q.gateway.peers.Choose(q.relays(domain, attempts[0].call), q.gateway.name)
 		if !ok {
@@ -53,10 +58,21 @@
 		q.sendRelayed(ctx, relay, attempts, now)
 	}
 	for _, a := range direct {
+		if a.call.cold {
+			q.notAllowed(a, now)
+			continue
+		}
 		q.sendDirect(ctx, a, now)
 	}
 }
 
+// notAllowed puts an attempt off at a cold server that this host does not call itself.
+func (q *query) notAllowed(a attempt, now time.Time) {
+	a.call.drop()
+	q.failure, q.code = "the server is cold and called by few hosts, none of which can be reached", CodeBusy
+	q.state.Later(a.shard, now.Add(deniedRetry))
+}
+
 // decide returns what becomes of each shard, or nil where none is scarce.
 func (q *query) decide(now time.Time) []scarcity.Verdict {
 	if q.choice == nil {
@@ -219,7 +235,11 @@
 		q.code = CodeBusy
 	}
 	var late *tooLateError
+	var cold *coldError
 	switch {
+	case errors.As(err, &cold):
+		q.code = CodeBusy
+		q.state.Later(need.Shard, now.Add(cold.wait))
 	case errors.As(err, &late):
 		q.code = CodeBusy
 		q.lookAgain(need.Shard, late.wait, now)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,6 +44,17 @@
 	errNoSlot   = errors.New("all servers of the service are busy")
 )
 
+// coldError says that a cold server takes no more for now.
+type coldError struct {
+	// wait is when it may take another request.
+	wait time.Duration
+}
+
+// Error names the wait.
+func (e *coldError) Error() string {
+	return fmt.Sprintf("the server is cold and takes another request in %v: it is warm some seconds after its start", e.wait.Round(time.Millisecond))
+}
+
 // tooLateError says that a call would come too late for those before it at the server.
 type tooLateError struct {
 	// wait is how long those take.
@@ -62,6 +73,8 @@
 	leaf   *replica.Leaf
 	// share is this host's part of it.
 	share control.Share
+	// cold deals out what this host may send it while it is cold.
+	cold *limit.Cold
 	// saidUnreadable tells that the log says that its load reports cannot be read.
 	saidUnreadable *atomic.Bool
 }
@@ -212,9 +225,9 @@
 func adopt(old *backend, s discovery.Server, p location, own control.Share, now time.Time) *backend {
 	b := &backend{Server: s, region: p.regions[s.Domain]}
 	if old != nil {
-		b.leaf, b.saidUnreadable = old.leaf, old.saidUnreadable
+		b.leaf, b.cold, b.saidUnreadable = old.leaf, old.cold, old.saidUnreadable
 	} else {
-		b.saidUnreadable = &atomic.Bool{}
+		b.cold, b.saidUnreadable = &limit.Cold{}, &atomic.Bool{}
 		b.leaf = &replica.Leaf{Address: s.Address, Domain: s.Domain, Slots: limit.NewSlots(p.slots(own)), Sharers: own.Hosts, Distance: p.distance(s.Domain), Parallel: max(s.Slots, 1)}
 		if now.Before(s.ColdUntil) {
 			b.leaf.Slots.Restarted(now)
@@ -258,15 +271,15 @@
 }
 
 // setShares changes this host's part of each server.
-func (f *fleet) setShares(shares func(discovery.Server) control.Share) {
+func (f *fleet) setShares(shares func(discovery.Server) control.Share, now time.Time) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, g := range f.groups {
-		g.setShares(f.location, shares)
+		g.setShares(f.location, shares, now)
 	}
 }
 
-func (g *group) setShares(location location, shares func(discovery.Server) control.Share) {
+func (g *group) setShares(location location, shares func(discovery.Server) control.Share, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.members {
@@ -274,5 +287,8 @@
 		b.share = own
 		b.leaf.Slots.SetShare(location.slots(own))
 		b.leaf.Sharers = own.Hosts
+		if own.Cold.Known() {
+			b.cold.SetCaller(own.CallsCold(location.name, location.domain), now)
+		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/internal/pause"
+	"github.com/mallowgap/mallowgap/limit"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -69,6 +70,7 @@
 	g.control = control.New(control.Config{
 		Self: g.self, Settings: settings.GetStore(), Seeds: list(settings.GetStore().GetSeeds()),
 		RelaysPerDomain: int(settings.GetRelay().GetHostsPerDomain()),
+		Cold:            limit.ColdBound{Excess: settings.GetCold().GetExcess(), Slack: settings.GetCold().GetSlack()},
 		Store:           edges.Store, Peers: edges.Peers, Listener: listener{g}, Log: log,
 	})
 	g.peers = g.control.Health()
@@ -84,7 +86,7 @@
 		l.gateway.requests.servers.Info().Str("server", restarted.ID).Str("service", restarted.Service).Int64("born", restarted.Born).Msg("server starts anew: what was observed of it is forgotten")
 		go l.gateway.edges.Leafs.Forget(restarted)
 	}
-	l.gateway.fleet.setShares(shares)
+	l.gateway.fleet.setShares(shares, now)
 }
 
 // ServerGone implements control.Listener.
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -19,6 +19,9 @@
 	share control.Share
 	// knownSlow tells that the server was chosen although it is known to be slow.
 	knownSlow bool
+	// cold tells that the server is cold and this host does not call it then: another host
+	// is to be asked.
+	cold bool
 }
 
 // pickOptions says what kind of slot a request wants.
@@ -50,6 +53,25 @@
 		}
 		exclude = away
 	}
+	cold := g.cold(now) &^ exclude
+	i := g.choose(w, away, exclude|cold, now)
+	if i == replica.None && cold != 0 && !w.hedge {
+		return g.pickCold(exclude, now)
+	}
+	if i == replica.None {
+		return nil, errNoSlot
+	}
+	if wait, late := g.set.TooLate(i, w.due, now); late {
+		return nil, &tooLateError{wait: wait}
+	}
+	if !g.set.Acquire(i, now) {
+		return nil, errNoSlot
+	}
+	return &call{group: g, backend: g.members[i], started: now, share: g.members[i].share, knownSlow: g.set.KnownSlow(i, now)}, nil
+}
+
+// choose returns the server that should get a request, or None where all are busy.
+func (g *group) choose(w pickOptions, away, exclude uint64, now time.Time) int {
 	i := replica.None
 	if !w.hedge && len(w.tried) == 0 {
 		i = g.set.Probe(now, exclude, w.probeEvery)
@@ -60,16 +82,52 @@
 	if i == replica.None {
 		i = g.set.Pick(now, 0, exclude)
 	}
+	return i
+}
+
+// pickCold takes a slot on a cold server, where no other has one. What a cold server takes
+// is little and the other servers of its service are mostly there, so that to leave it to
+// those that find no other costs callers least.
+func (g *group) pickCold(exclude uint64, now time.Time) (*call, error) {
+	i := g.set.Pick(now, 0, exclude)
 	if i == replica.None {
 		return nil, errNoSlot
 	}
-	if wait, late := g.set.TooLate(i, w.due, now); late {
-		return nil, &tooLateError{wait: wait}
+	b := g.members[i]
+	callsIt := b.cold.IsCaller()
+	if callsIt {
+		if err := g.takeCold(b, now); err != nil {
+			return nil, err
+		}
 	}
 	if !g.set.Acquire(i, now) {
 		return nil, errNoSlot
 	}
-	return &call{group: g, backend: g.members[i], started: now, share: g.members[i].share, knownSlow: g.set.KnownSlow(i, now)}, nil
+	return &call{group: g, backend: b, started: now, share: b.share, knownSlow: true, cold: !callsIt}, nil
+}
+
+// takeCold takes a request from what this host may send a cold server.
+func (g *group) takeCold(b *backend, now time.Time) error {
+	if wait, ok := b.cold.Take(b.share.Cold.Rate(b.share.ColdCallers()), now); !ok {
+		return &coldError{wait: wait}
+	}
+	return nil
+}
+
+// cold is the set of servers that are cold and take only so much then.
+func (g *group) cold(now time.Time) uint64 {
+	var mask uint64
+	for i, b := range g.members {
+		if b.isCold(now) {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+// isCold reports whether a server is cold and takes only so much then.
+func (b *backend) isCold(now time.Time) bool {
+	return now.Before(b.ColdUntil) && b.share.Cold.Known()
 }
 
 // soonest estimates after what time a request would have run at the server that brings it
@@ -88,12 +146,19 @@
 	if b.leaf.Leaving || i == replica.None {
 		return nil, errNoServer
 	}
+	b = g.members[i]
 	if wait, late := g.set.TooLate(i, due, now); late {
 		return nil, &tooLateError{wait: wait}
 	}
-	if !b.leaf.Slots.Acquire(now) {
+	if !b.leaf.Slots.Free(now) {
 		return nil, errNoSlot
 	}
+	if b.isCold(now) {
+		if err := g.takeCold(b, now); err != nil {
+			return nil, err
+		}
+	}
+	b.leaf.Slots.Acquire(now)
 	return &call{group: g, backend: b, started: now}, nil
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -196,8 +196,12 @@
 	if err != nil {
 		out := result{outcome: relaypb.Outcome_NOT_SENT, reason: err.Error()}
 		var late *tooLateError
-		if errors.As(err, &late) {
+		var cold *coldError
+		switch {
+		case errors.As(err, &late):
 			out.wait = late.wait
+		case errors.As(err, &cold):
+			out.wait = cold.wait
 		}
 		return out
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,16 +29,28 @@
 	"node": "front-a-1", "zone": "hall-a", "region": "palermo", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "limits.ram_mb": "284",
 	"listen.front": "10.1.0.9:8104", "listen.ready": "10.1.0.9:8108", "listen.control": "10.1.0.9:8106", "ip": "10.1.0.9", "port_range.0": "7380",
 	"platform.addr": "10.200.1.7:8102", "seed_addrs": "10.1.0.9:8106,10.2.0.21:8106",
+	"rule_params.cold_excess": "1.5", "rule_params.cold_slack": "5",
 	"rule_params.retry_ratio": "0.2", "rule_params.retry_slack": "54", "rule_params.retry_window_s": "10",
 }
 
-// fill fills in the template of the deploy file.
-func fill(t *testing.T) string {
+// optional is a section of the template that is left out where the platform has no value.
+var optional = regexp.MustCompile(`(?s)\{\{#(rule_params[a-z_.]+)\}\}(.*?)\{\{/rule_params[a-z_.]+\}\}`)
+
+// fill fills in the template of the deploy file. The platform has no value for the fields
+// named.
+func fill(t *testing.T, without ...string) string {
 	t.Helper()
 	text, err := os.ReadFile("../../deploy/gateway.ini.tmpl")
 	assert.NilError(t, err)
 	zones := regexp.MustCompile(`\{\{#zones\}\}.*\{\{/zones\}\}`)
 	filled := zones.ReplaceAllString(string(text), "hall-a=palermo,hall-b=catania")
+	filled = optional.ReplaceAllStringFunc(filled, func(section string) string {
+		parts := optional.FindStringSubmatch(section)
+		if slices.Contains(without, parts[1]) {
+			return ""
+		}
+		return parts[2]
+	})
 	placeholder := regexp.MustCompile(`\{\{[a-z_.0-9]+\}\}`)
 	return placeholder.ReplaceAllStringFunc(filled, func(name string) string {
 		value, ok := platformFields[strings.Trim(name, "{}")]
@@ -53,6 +66,10 @@
 	assert.Equal(t, file.GetListen().GetMetrics(), "10.1.0.9:7380")
 	assert.Equal(t, file.GetRetry().GetWindow().AsDuration(), 10*time.Second)
 	assert.Equal(t, file.GetShutdown().GetBalancerLag().AsDuration(), 3*time.Second)
+	assert.Assert(t, file.GetCold().GetExcess() == 1.5 && file.GetCold().GetSlack() == 5)
+	file, err = loadGateway(t, fill(t, "rule_params.cold_excess", "rule_params.cold_slack"))
+	assert.NilError(t, err, "of a platform that names no bound of cold servers")
+	assert.Assert(t, file.GetCold().GetExcess() == 1 && file.GetCold().GetSlack() == 0)
 }
 
 func TestGatewayFaultsAreAllReported(t *testing.T) {
