--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -103,6 +103,8 @@
 	records []byte
 	// floor is set where smaller records were left out.
 	floor []byte
+	// late are shards whose calls run for longer than usual.
+	late []int
 }
 
 // result is what became of the attempt at one shard.
@@ -237,6 +239,10 @@
 		q.noteCosts(e.results)
 		q.state.Offer(block)
 	}
+	now := time.Now()
+	for _, n := range e.late {
+		q.state.Late(n, now)
+	}
 }
 
 func (q *query) keep(r result) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,10 +79,13 @@
 			}
 		case <-soft.C:
 			soft.Reset(max(wait/laterReplies, leastReplyGap))
+			first := !gathered.told
 			if !gathered.worthTelling() {
 				continue
 			}
-			if err := stream.Send(g.withReport(gathered.flush(false))); err != nil {
+			reply := gathered.flush(false)
+			reply.Late = first
+			if err := stream.Send(g.withReport(reply)); err != nil {
 				return err
 			}
 		case <-ctx.Done():
@@ -151,12 +154,12 @@
 }
 
 // worthTelling reports whether a reply is due at a soft timeout: where parts have come, and
-// once while a whole reply is awaited, so that the other host hears that this one is there.
+// the first time, so that the other host hears that this one is there and what is late.
 func (w *gathering) worthTelling() bool {
 	if w.open == 0 {
 		return false
 	}
-	first := w.whole && !w.told
+	first := !w.told
 	w.told = true
 	return len(w.results) > 0 || first
 }
