--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -13,6 +13,7 @@
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/fanout"
 	"github.com/mallowgap/mallowgap/internal/control"
+	"github.com/mallowgap/mallowgap/replica"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -245,3 +246,21 @@
 	defer g.patienceMu.Unlock()
 	return len(g.patience)
 }
+
+// A relay to which a server was idle for a while calls it twice at the same moment: the
+// silence before the first call is none of the server's.
+func TestIdleTimeIsNoSilenceOfAServer(t *testing.T) {
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"shard0"}, "a1"), oneHost, func(w *world) {
+		f := w.hosts["host1"].fleet
+		b, g := f.server("shard0@a1"), f.group("shard0")
+		due := replica.Due{Objective: 100 * time.Millisecond, Left: 50 * time.Millisecond}
+		first, err := g.take(b, due, time.Now())
+		assert.NilError(t, err)
+		first.end(callEnd{result: callServed, elapsed: shardWork, atServer: shardWork, load: Load{Known: true}}, time.Now())
+		time.Sleep(5 * time.Second)
+		_, err = g.take(b, due, time.Now())
+		assert.NilError(t, err)
+		_, run := g.soonest(nil, time.Now())
+		assert.Equal(t, run, shardWork)
+	})
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -158,7 +158,7 @@
 			return nil, err
 		}
 	}
-	b.leaf.Slots.Acquire(now)
+	g.set.Acquire(i, now)
 	return &call{group: g, backend: b, started: now}, nil
 }
 
