--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -106,6 +107,8 @@
 	if !slices.Contains(q.leftOut, n) {
 		q.leftOut = append(q.leftOut, n)
 	}
+	expected, run := q.groups[n].soonest(q.entry.Homes, now)
+	q.putOff[n] = fmt.Sprintf("left to others, as its servers take long (%v, %v with the wait)", run.Round(time.Millisecond), expected.Round(time.Millisecond))
 	q.state.Later(n, now.Add(leftOutFor))
 }
 
@@ -230,6 +233,7 @@
 // postpone puts off a shard for which no server can be had.
 func (q *query) postpone(need fanout.Need, err error, now time.Time) {
 	q.failure = err.Error()
+	q.putOff[need.Shard] = q.failure
 	q.code = CodeNoServer
 	if errors.Is(err, errNoSlot) {
 		q.code = CodeBusy
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -82,6 +82,8 @@
 	leftOut []int
 	// tried holds the servers that were sent the request, by shard.
 	tried [][]string
+	// putOff says by shard why it was not asked when it was last looked at.
+	putOff map[int]string
 	// counted tells by shard that the request counts as a first attempt there.
 	counted []bool
 	// refusals counts what servers refused, all shards together.
@@ -349,11 +351,15 @@
 }
 
 // missing names the shards that are not in the answer, each with the servers
-// that were sent the request.
+// that were sent the request, or why none was.
 func (q *query) missing() []string {
 	var names []string
 	for _, n := range q.state.MissingShards() {
-		names = append(names, q.groups[n].service+": "+strings.Join(q.tried[n], " "))
+		what := strings.Join(q.tried[n], " ")
+		if what == "" {
+			what = "not asked: " + q.putOff[n]
+		}
+		names = append(names, q.groups[n].service+": "+what)
 	}
 	return names
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -161,6 +161,7 @@
 	if entry.Query == nil {
 		p.due = p.end
 	}
+	p.putOff = map[int]string{}
 	p.tried = make([][]string, settings.Shards)
 	p.counted = make([]bool, settings.Shards)
 	p.events = make(chan event, eventsEach*settings.Shards*(entry.MaxAttempts+maxRefusals))
