Reverted: calls that are not in the first reply of a relay count as late

Hypothesis: hedges go at a cap of 0.4 of the objective because the learnt percentile is that of the slowest; a relay that gathers for the usual time of its servers (1.5 times the 75th percentile) and tells then which calls are not in lets the caller hedge at once.

Conclusion: knowing of late calls sooner buys nothing while the budget goes first come, first served.

--- a/fanout/query.go
+++ b/fanout/query.go
@@ -83,15 +83,6 @@
 	s.arrived = s.attempts > 0
 }
 
-// Late notes that an attempt of a shard runs for longer than usual, so that another one is
-// due, if one is ever.
-func (q *Query) Late(n int, now time.Time) {
-	s := &q.shards[n]
-	if s.running > 0 && s.nextAt.After(now) {
-		s.nextAt = now
-	}
-}
-
 // Later puts off the next attempt of a shard, which cannot be made now.
 func (q *Query) Later(n int, at time.Time) { q.shards[n].nextAt = at }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -257,10 +257,10 @@
 }
 
 // sent notes an attempt that is being made.
-func (q *query) sent(a attempt, now time.Time, hedgeAfter time.Duration) {
+func (q *query) sent(a attempt, now time.Time, relayed bool) {
 	hedgeAt := time.Time{}
 	if q.entry.Idempotent {
-		hedgeAt = now.Add(hedgeAfter)
+		hedgeAt = now.Add(q.hedgeDelay(relayed))
 	}
 	q.state.Sent(a.shard, hedgeAt)
 	if a.kind != firstAttempt {
@@ -268,14 +268,7 @@
 	}
 }
 
-// lateDirect is after what time a call of this host to a server is late.
-func (q *query) lateDirect() time.Duration {
-	return q.gateway.latency.usual(q.entry.Name, time.Duration(hedgeCap*float64(q.objective)))
-}
-
-// lateRelay is after what time the calls through a relay are late where nothing was heard
-// of it. The relay itself tells of those that are late at their servers.
-func (q *query) lateRelay(region string) time.Duration {
-	key := latencyKey{q.entry.Name, q.gateway.wayTo(region)}
-	return q.gateway.latency.firstReply(key, time.Duration(hedgeCap*float64(q.objective)))
+func (q *query) hedgeDelay(relayed bool) time.Duration {
+	fallback := time.Duration(hedgeCap * float64(q.objective))
+	return q.gateway.latency.delay(latencyKey{q.entry.Name, relayed}, fallback)
 }
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -105,8 +105,6 @@
 	records []byte
 	// floor is set where smaller records were left out.
 	floor []byte
-	// late are shards whose calls run for longer than usual.
-	late []int
 }
 
 // result is what became of the attempt at one shard.
@@ -241,10 +239,6 @@
 		q.noteCosts(e.results)
 		q.state.Offer(block)
 	}
-	now := time.Now()
-	for _, n := range e.late {
-		q.state.Late(n, now)
-	}
 }
 
 func (q *query) keep(r result) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,13 +79,10 @@
 			}
 		case <-soft.C:
 			soft.Reset(max(wait/laterReplies, leastReplyGap))
-			first := !gathered.told
 			if !gathered.worthTelling() {
 				continue
 			}
-			reply := gathered.flush(false)
-			reply.Late = first
-			if err := stream.Send(g.withReport(reply)); err != nil {
+			if err := stream.Send(g.withReport(gathered.flush(false))); err != nil {
 				return err
 			}
 		case <-ctx.Done():
@@ -154,12 +151,12 @@
 }
 
 // worthTelling reports whether a reply is due at a soft timeout: where parts have come, and
-// the first time, so that the other host hears that this one is there and what is late.
+// once while a whole reply is awaited, so that the other host hears that this one is there.
 func (w *gathering) worthTelling() bool {
 	if w.open == 0 {
 		return false
 	}
-	first := !w.told
+	first := w.whole && !w.told
 	w.told = true
 	return len(w.results) > 0 || first
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,7 +13,7 @@
 
 // sendDirect calls a server from here.
 func (q *query) sendDirect(ctx context.Context, a attempt, now time.Time) {
-	q.sent(a, now, q.lateDirect())
+	q.sent(a, now, false)
 	fresh := !q.entry.Idempotent
 	go func() {
 		r := q.gateway.callServer(ctx, a.call, q.request, time.Until(q.end), fresh)
@@ -23,7 +23,7 @@
 			e.records = r.reply.Body
 		}
 		if r.outcome == relaypb.Outcome_PART {
-			q.gateway.latency.observe(latencyKey{q.entry.Name, atServer}, r.elapsed)
+			q.gateway.latency.observe(latencyKey{q.entry.Name, false}, r.elapsed)
 		}
 		countAttempt(a.kind, r.outcome)
 		q.events <- e
@@ -138,7 +138,7 @@
 func (q *query) sendRelayed(ctx context.Context, relay control.Host, attempts []attempt, now time.Time) {
 	request := q.relayRequest(relay, attempts, now)
 	for _, a := range attempts {
-		q.sent(a, now, q.lateRelay(relay.Region))
+		q.sent(a, now, true)
 	}
 	q.trace.relayed += len(attempts)
 	go q.gateway.relayed(ctx, request, &relayCall{query: q, relay: relay, attempts: attempts, open: len(attempts), floor: request.GetFloor()})
@@ -171,10 +171,11 @@
 	return m
 }
 
-// softTimeout is for how long a relay gathers before it sends what it has: as long as
-// servers usually take, so that what is not there by then is late.
+// softTimeout is for how long a relay gathers before it sends what it has: long
+// enough for most calls, so that they are merged, and short enough for a hedge
+// and for the answer.
 func (q *query) softTimeout() time.Duration {
-	return q.gateway.latency.usual(q.entry.Name, time.Duration(softCap*float64(q.objective)))
+	return q.gateway.latency.delay(latencyKey{q.entry.Name, false}, time.Duration(softCap*float64(q.objective)))
 }
 
 // relayCall follows one call of a relay. Its fields belong to the goroutine of
@@ -186,8 +187,6 @@
 	done     []bool
 	open     int
 	floor    []byte
-	// heard tells that the relay replied.
-	heard bool
 }
 
 // relayed makes the call and reports what it brings.
@@ -223,7 +222,6 @@
 		return // Its calls end as failed with the stream.
 	}
 	rc.takeReport(reply, now)
-	rc.takeFirst(now)
 	e := event{records: reply.GetRecords(), floor: reply.GetFloor()}
 	if len(e.floor) == 0 {
 		e.floor = rc.floor // A relay of the version before does not repeat it.
@@ -237,43 +235,11 @@
 		rc.open--
 		e.results = append(e.results, rc.result(i, r, now))
 	}
-	if reply.GetLate() {
-		e.late = rc.waiting()
-	}
-	if len(e.results)+len(e.late) > 0 {
+	if len(e.results) > 0 {
 		rc.query.events <- e
 	}
 }
 
-// takeFirst notes after what time the relay replied first.
-func (rc *relayCall) takeFirst(now time.Time) {
-	if rc.heard {
-		return
-	}
-	rc.heard = true
-	g, a := rc.query.gateway, rc.attempts[0]
-	g.latency.observe(latencyKey{rc.query.entry.Name, g.wayTo(rc.relay.Region)}, now.Sub(a.call.started))
-}
-
-// waiting returns the shards of which the relay has told nothing.
-func (rc *relayCall) waiting() []int {
-	var shards []int
-	for i, a := range rc.attempts {
-		if !rc.done[i] {
-			shards = append(shards, a.shard)
-		}
-	}
-	return shards
-}
-
-// wayTo is the way to a host of a region.
-func (g *Gateway) wayTo(region string) way {
-	if region == g.self.GetRegion() {
-		return ownRegion
-	}
-	return farRegion
-}
-
 // result turns what a relay says of one call into a result, and notes it.
 func (rc *relayCall) result(i int, r *relaypb.CallResult, now time.Time) result {
 	a := rc.attempts[i]
@@ -298,15 +264,17 @@
 			evidence = callFailed // The relay is next to the server: others find the same.
 		}
 	}
-	elapsedThere := time.Duration(r.GetElapsedUs()) * time.Microsecond
+	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
 	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
-	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsedThere), load: out.load}, now)
+	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load}, now)
 	out.ran = ran
 	if ejected {
 		rc.query.gateway.logEjected(a.call.backend, out.reason)
 	}
 	if evidence == callServed {
-		rc.query.gateway.latency.observe(latencyKey{rc.query.entry.Name, atServer}, elapsedThere)
+		name := rc.query.entry.Name
+		rc.query.gateway.latency.observe(latencyKey{name, true}, elapsed)
+		rc.query.gateway.latency.observe(latencyKey{name, false}, atServer)
 	}
 	countAttempt(a.kind, r.GetOutcome())
 	return out
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,9 +22,6 @@
 	// comeBack is the least time after which a refused caller is asked to come
 	// back.
 	comeBack = 50 * time.Millisecond
-	// eventsEach is the number of events that a call brings at most: what became of it, and
-	// before that that it is late.
-	eventsEach = 2
 	// startWait is for how long a request waits on a host that has just started
 	// and does not know the configuration yet. The smallest hosts learn it within
 	// 0.2 s; a caller that is refused needs a new connection, and may come to
@@ -164,7 +161,7 @@
 	p.putOff = map[int]string{}
 	p.tried = make([][]string, settings.Shards)
 	p.counted = make([]bool, settings.Shards)
-	p.events = make(chan event, eventsEach*settings.Shards*(entry.MaxAttempts+maxRefusals))
+	p.events = make(chan event, settings.Shards*(entry.MaxAttempts+maxRefusals))
 	return p
 }
 
