Reverted: the budget of a shard is kept by the hosts that call its servers

Nine hosts call a shard's servers; kept by these it would be cut into nine.

Found: an extra attempt always goes to another domain than the first, so that where one domain's servers are slow a third to a half of the parts lies where nobody can use it, while all hosts need extra attempts alike; a denial is known a way there and back later.

--- a/internal/control/callers.go
+++ b/internal/control/callers.go
@@ -124,10 +124,6 @@
 	return s.relays
 }
 
-// Relayed reports whether the server is called by hosts of its failure domain only, through
-// which all others call it.
-func (s Share) Relayed() bool { return s.relays != nil }
-
 // ColdCallers returns the number of hosts that call the server while it is cold.
 func (s Share) ColdCallers() int { return s.Cold.Callers(s.Hosts) }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -12,7 +12,6 @@
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/limit"
-	"github.com/mallowgap/mallowgap/retry"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -22,9 +21,9 @@
 	// hostGrace is for how long after the store's return a host whose lease
 	// ended in the outage may announce itself again: two renewals.
 	hostGrace = 8 * time.Second
-	// SharerLife is for how long a host that went counts among those that share the retry
+	// sharerLife is for how long a host that went counts among those that share the retry
 	// budget: the span over which that is counted, and the time of the news.
-	SharerLife = 12 * time.Second
+	sharerLife = 12 * time.Second
 	// maxRemovals bounds the removals kept for followers.
 	maxRemovals = 2000
 )
@@ -57,8 +56,9 @@
 	groups       map[string][]Host
 	chooser      *chooser
 	hostsChanged bool
-	// sharers counts View.Sharers.
-	sharers retry.Sharers
+	// sharers is View.Sharers, fewerSince when the hosts became fewer than that.
+	sharers    int
+	fewerSince time.Time
 	// lapsed are the hosts whose entries went missing in an outage of the
 	// store; they count until trustHosts.
 	lapsed     map[string]bool
@@ -375,6 +375,20 @@
 	}
 }
 
+// countSharers returns the number of hosts now or not long ago. The entries of a whole
+// region may vanish and come back: each host taking the part of one of fewer, the budget of
+// all would be passed.
+func (s *state) countSharers(now time.Time) int {
+	n := len(s.hosts)
+	switch {
+	case n >= s.sharers || !s.fewerSince.IsZero() && now.Sub(s.fewerSince) > sharerLife:
+		s.sharers, s.fewerSince = n, time.Time{}
+	case s.fewerSince.IsZero():
+		s.fewerSince = now
+	}
+	return s.sharers
+}
+
 // byDomain returns the hosts by their failure domain, and makes a new chooser where they
 // have changed.
 func (s *state) byDomain() map[string][]Host {
@@ -393,9 +407,7 @@
 		farRegions: otherRegions(s.hosts, s.self.Region),
 		StoreLost:  s.storeLost, Revision: s.revision, cold: s.cold,
 	}
-	// The entries of a whole region may vanish and come back: each host taking the part of
-	// one of fewer, the budget of all would be passed.
-	v.chooser, v.Sharers = s.chooser, s.sharers.Count(len(s.hosts), SharerLife, now)
+	v.chooser, v.Sharers = s.chooser, s.countSharers(now)
 	v.Known = v.Table != nil && s.registry.Loaded()
 	v.Ready = v.Known && !s.stopping
 	if v.Ready != previous.Ready {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -25,15 +25,13 @@
 	Packs bool
 	// Whole tells that it passes on requests that are not queries.
 	Whole bool
-	// Budgets tells that it keeps the retry budget of the shards whose servers it calls.
-	Budgets bool
 	// revision is that of its entry.
 	revision uint64
 }
 
 // hostOf returns the host that an entry describes.
 func hostOf(h *relaypb.Host) Host {
-	return Host{Name: h.GetName(), Address: h.GetAddress(), Domain: h.GetDomain(), Region: h.GetRegion(), Strength: h.GetStrength(), Packs: h.GetPacks(), Whole: h.GetWhole(), Budgets: h.GetBudgets()}
+	return Host{Name: h.GetName(), Address: h.GetAddress(), Domain: h.GetDomain(), Region: h.GetRegion(), Strength: h.GetStrength(), Packs: h.GetPacks(), Whole: h.GetWhole()}
 }
 
 // View is the control state that traffic reads. It is immutable.
--- a/internal/control/view_test.go
+++ b/internal/control/view_test.go
@@ -111,7 +111,7 @@
 	s.applyReading(Reading{Revision: 2, Entries: all[:20]}, now)
 	assert.Equal(t, s.view().Count, 20)
 	assert.Equal(t, s.view().Sharers, 60)
-	now = now.Add(SharerLife + time.Second)
+	now = now.Add(sharerLife + time.Second)
 	s.publish(now)
 	assert.Equal(t, s.view().Sharers, 20)
 	s.applyReading(Reading{Revision: 3, Entries: fleetEntries(60, 1, 3)}, now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,9 +18,6 @@
 	shard int
 	kind  attemptKind
 	call  *call
-	// extraPart is the part of the retry budget that an extra attempt may use, where the
-	// host that it goes through keeps the budget.
-	extraPart float64
 }
 
 // launch makes the attempts that are due.
@@ -62,19 +59,18 @@
 		q.sendRelayed(ctx, relay, attempts, now)
 	}
 	for _, a := range direct {
-		if a.call.cold || a.extraPart > 0 {
-			q.notAllowed(a, now) // Only the host that was to make the call may.
+		if a.call.cold {
+			q.notAllowed(a, now)
 			continue
 		}
 		q.sendDirect(ctx, a, now)
 	}
 }
 
-// notAllowed puts an attempt off that this host may not make itself: at a cold server that it
-// does not call, or an extra one of whose budget it has no part.
+// notAllowed puts an attempt off at a cold server that this host does not call itself.
 func (q *query) notAllowed(a attempt, now time.Time) {
 	a.call.drop()
-	q.failure, q.code = "none of the hosts can be reached that may call the server", CodeBusy
+	q.failure, q.code = "the server is cold and called by few hosts, none of which can be reached", CodeBusy
 	q.state.Later(a.shard, now.Add(deniedRetry))
 }
 
@@ -153,15 +149,14 @@
 		q.postpone(need, err, now)
 		return attempt{}, false
 	}
-	a := attempt{shard: need.Shard, kind: kind, call: c}
-	if kind != firstAttempt && !q.takeBudget(&a, now) {
+	if kind != firstAttempt && !q.takeBudget(g, kind, now) {
 		c.drop()
 		countDenied(kind)
 		q.trace.denied++
 		q.state.Later(need.Shard, now.Add(deniedRetry))
 		return attempt{}, false
 	}
-	if !q.counted[need.Shard] && !q.relayKeepsBudget(c) {
+	if !q.counted[need.Shard] {
 		q.counted[need.Shard] = true
 		g.first(now)
 	}
@@ -169,7 +164,7 @@
 		q.tried[need.Shard] = append(q.tried[need.Shard], c.backend.ID)
 	}
 	q.count(kind)
-	return a, true
+	return attempt{shard: need.Shard, kind: kind, call: c}, true
 }
 
 // left is the time within which a part has to come for the query to be in time. A late
@@ -205,6 +200,25 @@
 	return every * time.Duration(max(1, q.view.Count/probingHosts))
 }
 
+func (q *query) takeBudget(g *group, kind attemptKind, now time.Time) bool {
+	s := q.gateway.settings.GetRetry()
+	hosts := float64(max(q.view.Sharers, 1))
+	part := 1.0
+	// A copy of a request only takes the place of another: without copies in an
+	// overload a tenth more was answered in time at three times the callers.
+	if kind == hedgeAttempt && q.overloaded() {
+		return false
+	}
+	if kind == hedgeAttempt {
+		part = hedgePart
+	}
+	if q.entry.Query != nil {
+		part *= q.state.ExtraShare(now)
+	}
+	slack := q.gateway.startedShare(now) * slackShare * s.GetSlack() / hosts
+	return g.extra(part, budgetShare*s.GetShare(), slack, now)
+}
+
 func (q *query) count(kind attemptKind) {
 	switch kind {
 	case firstAttempt:
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -88,10 +88,6 @@
 	// evacuated tells that the failure domain of some server is to get nothing.
 	evacuated bool
 	window    *retry.Window
-	// keepers is the number of hosts that keep the retry budget of a shard, counted by
-	// sharers.
-	keepers int
-	sharers retry.Sharers
 	// gate decides about the requests of which this is the first service.
 	gate *admission.Gate
 	// calls is the time of calls to the servers.
@@ -286,10 +282,8 @@
 func (g *group) setShares(location location, shares func(discovery.Server) control.Share, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	all := make([]control.Share, len(g.members))
-	for i, b := range g.members {
+	for _, b := range g.members {
 		own := shares(b.Server)
-		all[i] = own
 		b.share = own
 		b.leaf.Slots.SetShare(location.slots(own))
 		b.leaf.Sharers = own.Hosts
@@ -297,5 +291,4 @@
 			b.cold.SetCaller(own.CallsCold(location.name, location.domain), now)
 		}
 	}
-	g.countKeepers(all, now)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,7 @@
 		name: h.GetName(), settings: settings, edges: edges, log: log, fleet: f,
 		self: &relaypb.Host{
 			Name: h.GetName(), Address: cmp.Or(settings.GetListen().GetPeersAdvertised(), settings.GetListen().GetPeers()), Domain: p.domain, Region: p.region,
-			Strength: h.GetCpuShare() * h.GetCpuSpeed(), Packs: true, Whole: true, Budgets: true,
+			Strength: h.GetCpuShare() * h.GetCpuSpeed(), Packs: true, Whole: true,
 		},
 		requests: newRequestLog(log, int(settings.GetLog().GetRequestsPerSecond())),
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
@@ -109,6 +109,13 @@
 	return g.control.Follow(m, stream)
 }
 
+// startedShare is the part of the slack of the retry budget that a host uses in
+// its first window: the process before it may have used its own.
+func (g *Gateway) startedShare(now time.Time) float64 {
+	window := g.settings.GetRetry().GetWindow().AsDuration()
+	return min(1, 0.5+0.5*float64(now.Sub(g.started))/float64(window))
+}
+
 // regions reads DOMAIN=REGION, comma-separated.
 func regions(text string) map[string]string {
 	m := map[string]string{}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -51,6 +50,13 @@
 	// lingerTime is for how long calls whose answer came too late may still
 	// run, so that their connections can be used again.
 	lingerTime = 250 * time.Millisecond
+	// budgetShare and slackShare are the parts of the retry budget that a host
+	// uses; the rest is for the edges of the sliding window.
+	budgetShare = 0.9
+	slackShare  = 0.8
+	// hedgePart is the part of the budget that hedges may use: a hedge may
+	// prove needless, a retry replaces what has failed.
+	hedgePart = 0.85
 )
 
 // query serves one request. Its fields belong to the goroutine of the request;
@@ -114,8 +120,6 @@
 	// wait of one that would have come too late how long those before it take.
 	unreachable bool
 	wait        time.Duration
-	// denied tells of a call that was not sent that the retry budget is used up.
-	denied bool
 	// load is what the server told of its load, ran how long the request ran there
 	// without its wait; 0 is unknown.
 	load Load
@@ -284,10 +288,6 @@
 	if r.outcome == relaypb.Outcome_NOT_SENT {
 		q.code = CodeUnreachable
 		q.state.NotSent(r.shard)
-		if r.denied {
-			q.takeDenied(r, now)
-			return
-		}
 	} else {
 		q.code = CodeRefused
 		q.state.Refused(r.shard)
@@ -305,13 +305,6 @@
 	}
 }
 
-// takeDenied takes in that the host that keeps the budget of a shard has none left.
-func (q *query) takeDenied(r result, now time.Time) {
-	q.trace.denied++
-	q.tried[r.shard] = slices.DeleteFunc(q.tried[r.shard], func(id string) bool { return id == r.server })
-	q.state.Later(r.shard, now.Add(deniedRetry))
-}
-
 // lookAgain puts a shard off for which there is no place until those before it have run.
 func (q *query) lookAgain(n int, wait time.Duration, now time.Time) {
 	if wait == 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		go func() {
-			results <- indexed{i, g.relayOne(ctx, id, r, relayedCall{timeout: timeout, due: due, fresh: m.GetWhole() && !m.GetRepeatable(), extraPart: extraPartOf(m, i)})}
+			results <- indexed{i, g.relayOne(ctx, id, r, timeout, due, m.GetWhole() && !m.GetRepeatable())}
 		}()
 	}
 	started := time.Now()
@@ -127,7 +127,7 @@
 	result := &relaypb.CallResult{
 		Index: uint32(one.index), Outcome: r.outcome, Signature: r.signature,
 		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
-		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, Denied: r.denied, WaitUs: uint64(r.wait.Microseconds()),
+		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, WaitUs: uint64(r.wait.Microseconds()),
 	}
 	if w.whole && r.reply != nil {
 		result.Reply = encodeReply(r.reply)
@@ -186,32 +186,13 @@
 	}
 }
 
-// relayedCall says how a server is called for a peer.
-type relayedCall struct {
-	timeout time.Duration
-	due     replica.Due
-	// fresh asks for a connection that was not idle for long.
-	fresh bool
-	// extraPart is the part (0 to 1) of the retry budget that the call may use; 0 tells that
-	// it is no extra one.
-	extraPart float64
-}
-
-// extraPartOf returns the part of the retry budget that the i-th call of a request may use.
-func extraPartOf(m *relaypb.GatherRequest, i int) float64 {
-	if i >= len(m.GetExtraParts()) {
-		return 0
-	}
-	return float64(m.GetExtraParts()[i]) / 100
-}
-
-// relayOne calls one server for a peer.
-func (g *Gateway) relayOne(ctx context.Context, id string, r *Request, how relayedCall) result {
+// relayOne calls one server for a peer, for which the part is due after a time.
+func (g *Gateway) relayOne(ctx context.Context, id string, r *Request, timeout time.Duration, due replica.Due, fresh bool) result {
 	b, servers := g.serverOf(id)
 	if b == nil {
 		return result{outcome: relaypb.Outcome_NOT_SENT, reason: "the relay does not know the server"}
 	}
-	c, err := servers.takeSoon(ctx, b, how.due)
+	c, err := servers.takeSoon(ctx, b, due)
 	if err != nil {
 		out := result{outcome: relaypb.Outcome_NOT_SENT, reason: err.Error()}
 		var late *tooLateError
@@ -224,14 +205,7 @@
 		}
 		return out
 	}
-	now := time.Now()
-	if how.extraPart <= 0 {
-		servers.first(now)
-	} else if !g.takeExtra(servers, how.extraPart, now) {
-		c.drop()
-		return result{outcome: relaypb.Outcome_NOT_SENT, reason: "the retry budget of the shard is used up", denied: true}
-	}
-	return g.callServer(ctx, c, r, how.timeout, how.fresh)
+	return g.callServer(ctx, c, r, timeout, fresh)
 }
 
 // takeSoon takes a slot of a server, and looks again for a moment where none is
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"time"
 
@@ -169,25 +168,9 @@
 		}
 	}
 	setServerIDs(m, ids, relay.Packs)
-	m.ExtraParts = extraParts(attempts)
 	return m
 }
 
-// extraParts tells of each attempt which part of the retry budget it may use, in
-// hundredths; nil where none is extra.
-func extraParts(attempts []attempt) []uint32 {
-	parts, extra := make([]uint32, len(attempts)), false
-	for i, a := range attempts {
-		if a.extraPart > 0 {
-			parts[i], extra = uint32(math.Ceil(100*a.extraPart)), true
-		}
-	}
-	if !extra {
-		return nil
-	}
-	return parts
-}
-
 // softTimeout is for how long a relay gathers before it sends what it has: long
 // enough for most calls, so that they are merged, and short enough for a hedge
 // and for the answer.
@@ -264,7 +247,7 @@
 	out := result{
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
-		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond, denied: r.GetDenied(),
+		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
 	}
 	if reply := r.GetReply(); reply != nil {
 		out.reply = decodeReply(reply, r.GetSignature())
