Cut off is a host that reaches none of the domains whose servers a query needs

The hosts of a domain without servers of the query are never asked, so that they were never found to be silent.

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -221,6 +221,15 @@
 	return mask
 }
 
+// addDomains adds the failure domains in which servers in service stand.
+func (g *group) addDomains(domains map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.members {
+		domains[b.Domain] = true
+	}
+}
+
 // standsIn reports whether a server in service stands in a failure domain.
 func (g *group) standsIn(domain string) bool {
 	g.mu.Lock()
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -174,18 +174,22 @@
 // what an answer needs. Such a query was held to its end, 46 of them in a cut of five
 // seconds, and each sent 50 attempts to servers that could not be reached.
 func (q *query) outOfReach() bool {
-	domain := q.gateway.self.GetDomain()
-	return q.gateway.cutOff(q.view) && !q.enough(func(g *group) bool { return g.standsIn(domain) })
-}
-
-// cutOff reports whether this host has lost the store and every host of other failure domains
-// that it would ask. It asks them again until one answers.
-func (g *Gateway) cutOff(v *control.View) bool {
-	if v.StoreLost.IsZero() {
+	if q.view.StoreLost.IsZero() {
 		return false
 	}
+	domains := map[string]bool{}
+	for _, g := range q.groups {
+		g.addDomains(domains)
+	}
+	own := q.gateway.self.GetDomain()
+	return q.gateway.silent(q.view, domains) && !q.enough(func(g *group) bool { return g.standsIn(own) })
+}
+
+// silent reports whether no host of the failure domains but the own one answers, of those
+// that would be asked. They are asked again until one does.
+func (g *Gateway) silent(v *control.View, domains map[string]bool) bool {
 	lost := 0
-	for domain := range v.Hosts {
+	for domain := range domains {
 		if domain == g.self.GetDomain() {
 			continue
 		}
