--- a/cmd/mallowgap/explain.go
+++ b/cmd/mallowgap/explain.go
@@ -25,6 +25,10 @@
 		if err != nil {
 			return err
 		}
+		if err := explain.ProfileOf(lines).Write(os.Stdout); err != nil {
+			return err
+		}
+		fmt.Println()
 		return explain.Summarize(lines).Write(os.Stdout)
 	}
 	if len(c.Args.Words) < 2 {
--- a/purity_test.go
+++ b/purity_test.go
@@ -41,7 +41,7 @@
 // platformWords are names that only the adapter may know.
 var platformWords = []string{
 	"X-Mallowgap-", "kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep", "op/config", "goal_ms", "top_k", "min_share",
-	"weighted_services", "cold_left_ms",
+	"weighted_services", "cold_left_ms", "home_regions", "cold_per_s", "op/evacuate",
 }
 
 // TestPlatformNamesStayInTheAdapter looks for the platform's names in the code.
