--- /dev/null
+++ b/scripts/ways.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Plays revisions on the same days and seeds of a deployment and prints their worth, the
+# differences to the first one and the spread of these. Journal entries are copied here.
+#
+#   BENCH=PATH scripts/ways.sh SITE "DAY..." "SEED..." REVISION...
+#
+# BENCH is the users' bench, JOBS the number of days at a time (4). A seed of 0 is the day's own.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+site=$(realpath "$1") days=$2 seeds=$3
+shift 3
+root=$PWD
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+
+play() { # DIRECTORY DAY SEED: prints the worth of the day
+  cd "$1"
+  local seed=()
+  [ "$3" = 0 ] || seed=(--seed "$3")
+  "$BENCH" run "$site" "$2" "${seed[@]}" --why "ways: $(git log -1 --format='%h %s')" 2>/dev/null |
+    awk -v day="$2" '$1 == day && NF > 6 { for (i = 2; i <= NF; i++) if ($i ~ /^[0-9]+\/[0-9]+$/) { broken = /BROKEN/ ? "broken" : "kept"; print $(i + 2), broken; exit } }'
+}
+export -f play
+export BENCH site
+
+for revision in "$@"; do
+  git clone -q "$root" "$scratch/$revision"
+  (cd "$scratch/$revision" && git checkout -q "$revision" && "$BENCH" build >/dev/null)
+done
+for day in $days; do for seed in $seeds; do for revision in "$@"; do
+  echo "$revision $day $seed"
+done; done; done >"$scratch/plays"
+xargs -P "${JOBS:-4}" -L 1 bash -c 'echo "$2 $3 $1 $(play "$0/$1" "$2" "$3")"' "$scratch" <"$scratch/plays" >"$scratch/worths"
+for revision in "$@"; do
+  cp -n "$scratch/$revision"/journal/*.json journal/
+  cp -rn "$scratch/$revision/journal/blobs/." journal/blobs/
+done
+
+sort "$scratch/worths" | awk -v order="$*" '
+  { key = $1 " " $2; worth[key, $3] = $4; if ($5 != "kept") note[key] = note[key] " " $3 ":" $5; if (!(key in seen)) { seen[key] = 1; keys[++n] = key } }
+  END {
+    m = split(order, way, " ")
+    printf "%-28s", "day seed"; for (w = 1; w <= m; w++) printf "%10s", way[w]; print ""
+    for (k = 1; k <= n; k++) {
+      printf "%-28s", keys[k]
+      for (w = 1; w <= m; w++) {
+        printf "%10.3f", worth[keys[k], way[w]]
+        d = worth[keys[k], way[w]] - worth[keys[k], way[1]]; sum[w] += d; square[w] += d * d; total[w] += worth[keys[k], way[w]]
+      }
+      print note[keys[k]]
+    }
+    printf "%-28s", "mean"; for (w = 1; w <= m; w++) printf "%10.3f", total[w] / n; print ""
+    printf "%-28s", "difference"; for (w = 1; w <= m; w++) printf "%+10.3f", sum[w] / n; print ""
+    printf "%-28s", "its standard error"
+    for (w = 1; w <= m; w++) { v = n > 1 ? (square[w] - sum[w] * sum[w] / n) / (n - 1) : 0; printf "%10.3f", sqrt(v > 0 ? v / n : 0) }
+    print ""
+  }'
