Reverted: a relay turns calls away from a server that answers nobody

Hypothesis: a server pauses for 120 ms each 3 s. The relay, which makes all calls to it, knows from the one that is under way; the next caller need not wait 41 ms for its hedge, and the call elsewhere is no extra attempt.

A relay sees a server five times a second, so that few calls meet a pause that another has found, and what has a long request under way is turned away as well.

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -326,17 +326,6 @@
 	callNoEvidence
 )
 
-// silent returns for how long a server has answered nobody, if that is longer than usual.
-func (g *group) silent(b *backend, now time.Time) (since time.Duration, silent bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	i := g.index(b.leaf)
-	if i == replica.None {
-		return 0, false
-	}
-	return g.set.Silent(i, now)
-}
-
 // first notes a first attempt at the service.
 func (g *group) first(now time.Time) {
 	g.mu.Lock()
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -120,8 +120,6 @@
 	// wait of one that would have come too late how long those before it take.
 	unreachable bool
 	wait        time.Duration
-	// silent tells of a call that was not sent that the server has answered nobody for wait.
-	silent bool
 	// load is what the server told of its load, ran how long the request ran there
 	// without its wait; 0 is unknown.
 	load Load
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,8 +47,8 @@
 	timeout := time.Duration(m.GetTimeoutUs()) * time.Microsecond
 	due := dueOf(m)
 	for i, id := range m.GetServerIds() {
-		if refused, ok := g.refuseUnknown(m, i, id); ok {
-			results <- indexed{i, refused}
+		if m.GetDueUs() > 0 && !slices.Contains(m.GetKnownSlow(), uint32(i)) && g.reports.isSlow(id) {
+			results <- indexed{i, result{outcome: relaypb.Outcome_NOT_SENT, reason: "the server is slow, which the caller did not know"}}
 			continue
 		}
 		go func() {
@@ -92,29 +92,6 @@
 	return stream.Send(g.withReport(gathered.flush(true)))
 }
 
-// refuseUnknown refuses a call to a server that is slow or silent, which the caller did not
-// know: it can call another one at once.
-//
-// To call another server than one that pauses or hangs is no extra attempt, where a second
-// attempt after the call is one, and comes a third of the objective later.
-func (g *Gateway) refuseUnknown(m *relaypb.GatherRequest, i int, id string) (result, bool) {
-	if m.GetDueUs() == 0 || slices.Contains(m.GetKnownSlow(), uint32(i)) {
-		return result{}, false
-	}
-	if g.reports.isSlow(id) {
-		return result{outcome: relaypb.Outcome_NOT_SENT, reason: "the server is slow, which the caller did not know"}, true
-	}
-	b, servers := g.serverOf(id)
-	if b == nil {
-		return result{}, false
-	}
-	since, silent := servers.silent(b, time.Now())
-	if !silent || m.GetWhole() {
-		return result{}, false
-	}
-	return result{outcome: relaypb.Outcome_NOT_SENT, reason: "the server answers nobody at present", silent: true, wait: since}, true
-}
-
 // withReport adds to a reply what is known of the servers near this host.
 func (g *Gateway) withReport(reply *relaypb.GatherReply) *relaypb.GatherReply {
 	now := time.Now()
@@ -150,7 +127,7 @@
 	result := &relaypb.CallResult{
 		Index: uint32(one.index), Outcome: r.outcome, Signature: r.signature,
 		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
-		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, Silent: r.silent, WaitUs: uint64(r.wait.Microseconds()),
+		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, WaitUs: uint64(r.wait.Microseconds()),
 	}
 	if w.whole && r.reply != nil {
 		result.Reply = encodeReply(r.reply)
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -20,9 +20,6 @@
 	// vouchAfter is the age of a process from which its calls tell which
 	// servers are sound.
 	vouchAfter = 2 * time.Second
-	// leastSilence is the least latency to expect of a server that a host near it finds to be
-	// silent: longer than any server takes that can be called instead.
-	leastSilence = 100 * time.Millisecond
 	// maxReported bounds the servers of one report.
 	maxReported = 100
 )
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -247,7 +247,7 @@
 	out := result{
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
-		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond, silent: r.GetSilent(),
+		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
 	}
 	if reply := r.GetReply(); reply != nil {
 		out.reply = decodeReply(reply, r.GetSignature())
@@ -268,9 +268,6 @@
 	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
 	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load}, now)
 	out.ran = ran
-	if out.silent {
-		a.call.group.reported(a.call.backend, max(out.wait, leastSilence), now)
-	}
 	if ejected {
 		rc.query.gateway.logEjected(a.call.backend, out.reason)
 	}
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -22,11 +22,6 @@
 	// idleAhead is the number of requests before one up to which a leaf counts as idle:
 	// a queue that was told fades and is never quite gone.
 	idleAhead = 0.5
-	// silentFactor is how many times longer than a request takes a leaf must be silent to be
-	// taken to pause, and silentFloor the least such time: the longest of a hundred requests
-	// takes three to five times as long as the usual one.
-	silentFactor = 4
-	silentFloor  = 10 * time.Millisecond
 	// workSmoothing is the weight of a new sample of the work of a request.
 	workSmoothing = 0.1
 	// slownessHalfLife is the time after which half of what a leaf told of the slowness of
@@ -128,22 +123,6 @@
 	return time.Duration(ahead * float64(l.work) / float64(max(l.Parallel, 1)))
 }
 
-// Silent returns for how long a leaf that has requests running has answered nobody, if that
-// is much longer than a request takes there: it pauses, hangs or is gone, and another
-// request would wait behind them.
-func (s *Set) Silent(i int, now time.Time) (since time.Duration, silent bool) {
-	leaf := s.Leaves[i]
-	usual := time.Duration(float64(leaf.work) * leaf.slowFactor(now))
-	if usual == 0 {
-		usual = leaf.latency // It does not tell its load.
-	}
-	if leaf.Slots.InUse() == 0 || usual == 0 {
-		return 0, false
-	}
-	since = now.Sub(leaf.progress)
-	return since, since > max(silentFactor*usual, silentFloor)
-}
-
 // Due is when the part that a call brings is wanted.
 type Due struct {
 	// Objective is the time within which an answer has its full worth.
--- a/replica/wait_test.go
+++ b/replica/wait_test.go
@@ -97,20 +97,3 @@
 	}
 	assert.Equal(t, s.Pick(now, 0, 0), replica.None, "it is worth waiting for one that is busy")
 }
-
-func TestSilence(t *testing.T) {
-	s := newSet(1, 4, replica.Observed)
-	answer(s, 0, 20*ms, start)
-	told(s, 0, 0, start)
-	now := start.Add(time.Hour)
-	_, silent := s.Silent(0, now)
-	assert.Assert(t, !silent, "nobody asked")
-	s.Acquire(0, now)
-	_, silent = s.Silent(0, now.Add(60*ms))
-	assert.Assert(t, !silent, "a long request")
-	since, silent := s.Silent(0, now.Add(90*ms))
-	assert.Assert(t, silent && since == 90*ms)
-	s.Answered(0, 95*ms, now.Add(95*ms))
-	_, silent = s.Silent(0, now.Add(100*ms))
-	assert.Assert(t, !silent)
-}
