--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,13 +111,6 @@
 	return g.control.Follow(m, stream)
 }
 
-// startedShare is the part of the slack of the retry budget that a host uses in
-// its first window: the process before it may have used its own.
-func (g *Gateway) startedShare(now time.Time) float64 {
-	window := g.settings.GetRetry().GetWindow().AsDuration()
-	return min(1, 0.5+0.5*float64(now.Sub(g.started))/float64(window))
-}
-
 // regions reads DOMAIN=REGION, comma-separated.
 func regions(text string) map[string]string {
 	m := map[string]string{}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -50,13 +50,6 @@
 	// lingerTime is for how long calls whose answer came too late may still
 	// run, so that their connections can be used again.
 	lingerTime = 250 * time.Millisecond
-	// budgetShare and slackShare are the parts of the retry budget that a host
-	// uses; the rest is for the edges of the sliding window.
-	budgetShare = 0.9
-	slackShare  = 0.8
-	// hedgePart is the part of the budget that hedges may use: a hedge may
-	// prove needless, a retry replaces what has failed.
-	hedgePart = 0.85
 )
 
 // query serves one request. Its fields belong to the goroutine of the request;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning ($file no longer has it)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -50,7 +50,7 @@
 TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if r.away \|\| now.Before\(r.trustFrom\) \{\n\t\te.missing/if false {\n\t\te.missing/@entries that lapse in an outage are gone at once
 TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.counted\[need.Shard\] \{/if kind == firstAttempt {/@tries that reach nobody earn budget
 TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.mayHaveRun && !q.running\(\) &&/if/@a request that may have run is called not run
-TestDrainingServerGetsNothingNew@internal/gateway/fleet.go@s/if s.Draining \{/if false {/@a draining server gets requests
+TestDrainingServerGetsNothingNew@internal/gateway/fleet.go@s/if s.Draining \|\| s.Evacuated \{/if s.Evacuated {/@a draining server gets requests
 TestCallerThatLeavesEndsItsCalls@internal/gateway/query.go@s/if ctx.Err\(\) != nil \|\| !q.running\(\)/if !q.running()/@calls go on after the caller has left
 TestFollowersLearnInTimeWhateverBecomesOfTheLeader@internal/control/follow.go@s/time.After\(silenceLimit\)/time.After(time.Hour)/@a silent leader is followed for ever
 TestNoTwoHostsFollowEachOther@internal/control/follow.go@s/compareHosts\(h, self\) >= 0/compareHosts(h, self) > 1/@two hosts follow each other
@@ -103,5 +103,16 @@
 TestShardsThatCannotBeInTimeComeLast@scarcity/scarcity.go@s/case shards\[i\].Expected <= left:/case true:/@a shard without a server is asked first
 TestQueriesThatNeedNoneLeaveThemToOthers@scarcity/scarcity.go@s/if count > spare \{/if false {/@queries that need no scarce shard take its places
 TestNoMoreAreAskedThanTheLeastShareNeeds@scarcity/scarcity.go@s/\t\t\tverdicts\[i\] = LeaveOut/\t\t\tverdicts[i] = Ask/@more scarce shards are asked than needed
+TestRequestsStayInTheirHomes@internal/gateway/pick.go@s/if !homes.Allow\(b.region\) \{/if false {/@servers outside the homes get requests
+TestRequestsStayInTheirHomes|TestTwoHomesShareTheRequests@route/homes.go@s/return len\(h\) == 0 \|\| /return true || /@every region is a home
+TestEvacuatedDomainGetsNothing@internal/gateway/fleet.go@s/if s.Draining \|\| s.Evacuated \{/if s.Draining {/@an evacuated server gets requests
+TestServerUnderItsOldIdentifierStartsAnew@internal/gateway/fleet.go@s/return s.Replaces\(before\) \|\| /return /@what was observed of a former process stays
+TestLaterProcessUnderTheSameIdentifier@discovery/registry.go@s/if known.server.Replaces\(server\) \{/if false {/@the late entry of a former process counts
+TestUnreadableEntryNamesNoServer@internal/control/state.go@s/s.registry.Drop\(e.Name\)/false/@the older entry stays in use
+TestOnlyColdServersAreLeft@internal/gateway/pick.go@s/if wait, ok := b.cold.Take\(.*\n\t\treturn &coldError\{wait: wait\}\n\t\}/_ = b/@a cold server gets what others would
+TestColdServerGetsNoMoreThanItTakes@limit/cold.go@s/coldPart = 0.6/coldPart = 1.5/@too much is dealt out to cold servers
+TestFreeReplicaIsNotWaitedFor@replica/set.go@s/ \|\| leaf.Slots.Free\(now\) \{\n\t\t\tcontinue\n\t\t\}\n\t\tlimit/ {\n\t\t\tcontinue\n\t\t}\n\t\tlimit/@a free replica is waited for
+TestIdleTimeIsNoSilenceOfAServer@internal/gateway/pick.go@s/\tg.set.Acquire\(i, now\)\n/\tb.leaf.Slots.Acquire(now)\n/@the time before a call counts as silence
+TestHostThatIsCutOffRefusesWhatItCannotServe@internal/gateway/query.go@s/return lost > 0/return false/@a host that is cut off holds what it cannot serve
 LIST
 exit $survived
--- a/scripts/ways.sh
+++ b/scripts/ways.sh
@@ -6,6 +6,7 @@
 #
 # BENCH is the users' bench, JOBS the number of days at a time (4). A seed of 0 is the day's own.
 set -euo pipefail
+: "${BENCH:?set it to the path of the bench}"
 cd "$(dirname "$0")/.."
 site=$(realpath "$1") days=$2 seeds=$3
 shift 3
