--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,17 +44,6 @@
 	errNoSlot   = errors.New("all servers of the service are busy")
 )
 
-// coldError says that a cold server takes no more for now.
-type coldError struct {
-	// wait is when it may take another request.
-	wait time.Duration
-}
-
-// Error names the wait.
-func (e *coldError) Error() string {
-	return fmt.Sprintf("the server is cold and takes another request in %v: it is warm some seconds after its start", e.wait.Round(time.Millisecond))
-}
-
 // tooLateError says that a call would come too late for those before it at the server.
 type tooLateError struct {
 	// wait is how long those take.
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -85,51 +85,6 @@
 	return i
 }
 
-// pickCold takes a slot on a cold server, where no other has one. What a cold server takes
-// is little and the other servers of its service are mostly there, so that to leave it to
-// those that find no other costs callers least.
-func (g *group) pickCold(exclude uint64, now time.Time) (*call, error) {
-	i := g.set.Pick(now, 0, exclude)
-	if i == replica.None {
-		return nil, errNoSlot
-	}
-	b := g.members[i]
-	callsIt := b.cold.IsCaller()
-	if callsIt {
-		if err := g.takeCold(b, now); err != nil {
-			return nil, err
-		}
-	}
-	if !g.set.Acquire(i, now) {
-		return nil, errNoSlot
-	}
-	return &call{group: g, backend: b, started: now, share: b.share, knownSlow: true, cold: !callsIt}, nil
-}
-
-// takeCold takes a request from what this host may send a cold server.
-func (g *group) takeCold(b *backend, now time.Time) error {
-	if wait, ok := b.cold.Take(b.share.Cold.Rate(b.share.ColdCallers()), now); !ok {
-		return &coldError{wait: wait}
-	}
-	return nil
-}
-
-// cold is the set of servers that are cold and take only so much then.
-func (g *group) cold(now time.Time) uint64 {
-	var mask uint64
-	for i, b := range g.members {
-		if b.isCold(now) {
-			mask |= 1 << i
-		}
-	}
-	return mask
-}
-
-// isCold reports whether a server is cold and takes only so much then.
-func (b *backend) isCold(now time.Time) bool {
-	return now.Before(b.ColdUntil) && b.share.Cold.Known()
-}
-
 // soonest estimates after what time a request would have run at the server that brings it
 // first, and how long it would run there; 0 is unknown.
 func (g *group) soonest(homes route.Homes, now time.Time) (expected, run time.Duration) {
@@ -221,29 +176,6 @@
 	return mask
 }
 
-// addDomains adds the failure domains in which servers in service stand.
-func (g *group) addDomains(domains map[string]bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, b := range g.members {
-		domains[b.Domain] = true
-	}
-}
-
-// standsIn reports whether a server in service stands in a failure domain.
-func (g *group) standsIn(domain string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.members, func(b *backend) bool { return b.Domain == domain })
-}
-
-// isEvacuated reports whether the failure domain of some server is evacuated.
-func (g *group) isEvacuated() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.evacuated
-}
-
 // size returns the number of servers in service that may see a request with homes.
 func (g *group) size(homes route.Homes) int {
 	g.mu.Lock()
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -146,56 +146,6 @@
 	return len(q.leftOut) > 0 && q.state.Enough() && !q.running() && len(q.leftOut) == len(q.state.MissingShards())
 }
 
-// enoughServers reports whether as many shards as an answer needs have a server that may
-// see the request.
-func (q *query) enoughServers() bool {
-	return q.enough(func(g *group) bool { return g.size(q.entry.Homes) > 0 })
-}
-
-// enough reports whether something holds for as many shards as an answer needs.
-func (q *query) enough(holds func(*group) bool) bool {
-	n := 0
-	for _, g := range q.groups {
-		if holds(g) {
-			n++
-		}
-	}
-	return n >= q.state.Needed()
-}
-
-// outOfReach reports whether this host is cut off and its own failure domain does not have
-// what an answer needs. Such a query was held to its end, 46 of them in a cut of five
-// seconds, and each sent 50 attempts to servers that could not be reached.
-func (q *query) outOfReach() bool {
-	if q.view.StoreLost.IsZero() {
-		return false
-	}
-	domains := map[string]bool{}
-	for _, g := range q.groups {
-		g.addDomains(domains)
-	}
-	own := q.gateway.self.GetDomain()
-	return q.gateway.silent(q.view, domains) && !q.enough(func(g *group) bool { return g.standsIn(own) })
-}
-
-// silent reports whether no host of the failure domains but the own one answers, of those
-// that would be asked. They are asked again until one does.
-func (g *Gateway) silent(v *control.View, domains map[string]bool) bool {
-	lost := 0
-	for domain := range domains {
-		if domain == g.self.GetDomain() {
-			continue
-		}
-		for _, h := range v.Relays(domain, int(g.settings.GetRelay().GetHostsPerDomain())) {
-			if !g.peers.Suspected(h.Address) {
-				return false
-			}
-			lost++
-		}
-	}
-	return lost > 0
-}
-
 // release ends the calls that still run: at once where the caller has left,
 // else after a while.
 func (q *query) release(ctx context.Context, cancel context.CancelFunc) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/mallowgap/mallowgap/fanout"
@@ -113,19 +112,6 @@
 	return p.finish(p.run(ctx))
 }
 
-// noServers refuses a request that no server may serve now.
-func (q *query) noServers() Answer {
-	if len(q.entry.Homes) > 0 {
-		return notRun(CodeNoHome, fmt.Sprintf("no server in service stands in a home of the route (%v)", q.entry.Homes), q.retryAfter())
-	}
-	for _, g := range q.groups {
-		if g.isEvacuated() && g.size(nil) == 0 {
-			return notRun(CodeEvacuated, "the failure domains of all servers of "+g.service+" are evacuated", q.retryAfter())
-		}
-	}
-	return notRun(CodeNoServer, errNoServer.Error(), q.retryAfter())
-}
-
 // plan says how a request is served: as a query over shards, or as one over the
 // single shard that the chosen service is.
 func (g *Gateway) plan(v *control.View, entry *route.Entry, r *Request, t *trace) *query {
