Reverted: two ways to leave budget to retries

Hypothesis: while 13 in 100 answers are lost, a query over 135 shards lacks 18 after its first attempts and gets half of the budget for its retries (the numbers were chosen for 20 shards), less than others get for hedges; and hedges take what retries are about to need. The part of the budget by the share of the shards that lack, and hedges that leave what is retried.

--- a/fanout/extra.go
+++ b/fanout/extra.go
@@ -10,14 +10,11 @@
 	lateShare = 0.85
 	// enoughShare is that of queries that have enough shards already.
 	enoughShare = 0.8
-	// fewLacking is the number of lacking shards up to which all may be used, and fewShare the
-	// same as a share of the shards; from there on it is less, down to leastExtraShare at
-	// manyLacking and manyShare. As numbers alone, chosen for 20 shards, a query over 135 of
-	// which one answer in eight was lost got half of the budget for its retries, less than
-	// others got for second attempts.
-	fewLacking, manyLacking = 3, 8
-	fewShare, manyShare     = 0.1, 0.4
-	leastExtraShare         = 0.5
+	// fewLacking is the number of lacking shards up to which all may be used; for
+	// each one more it is lackingStep less, down to leastExtraShare.
+	fewLacking      = 3
+	lackingStep     = 0.1
+	leastExtraShare = 0.5
 )
 
 // ExtraShare returns the part (0 to 1) of the retry budget up to which the query
@@ -28,16 +25,14 @@
 	if !now.Before(q.settings.AnswerAt) {
 		return lateShare
 	}
-	lacking := float64(q.lacking())
-	shards := float64(q.settings.Shards)
-	few, many := max(fewLacking, fewShare*shards), max(manyLacking, manyShare*shards)
+	lacking := q.lacking()
 	switch {
 	case lacking <= 0:
 		return enoughShare
-	case lacking <= few:
+	case lacking <= fewLacking:
 		return 1
 	}
-	return max(leastExtraShare, 1-(1-leastExtraShare)*(lacking-few)/(many-few))
+	return max(leastExtraShare, 1-lackingStep*float64(lacking-fewLacking))
 }
 
 // lacking returns how many more shards the least share needs beyond those that
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,6 @@
 		q.tried[need.Shard] = append(q.tried[need.Shard], c.backend.ID)
 	}
 	q.count(kind)
-	q.gateway.failing.note(kind, now)
 	return attempt{shard: need.Shard, kind: kind, call: c}, true
 }
 
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,11 +1,6 @@
 package gateway
 
-import (
-	"sync"
-	"time"
-
-	"github.com/mallowgap/mallowgap/retry"
-)
+import "time"
 
 const (
 	// budgetShare and slackShare are the parts of the retry budget that a host
@@ -28,49 +23,14 @@
 	if kind == hedgeAttempt && q.overloaded() {
 		return false
 	}
-	share := budgetShare * s.GetShare()
 	if kind == hedgeAttempt {
 		part = hedgePart
-		share -= q.gateway.failing.share(now)
 	}
 	if q.entry.Query != nil {
 		part *= q.state.ExtraShare(now)
 	}
 	slack := q.gateway.startedShare(now) * slackShare * s.GetSlack() / hosts
-	return g.extra(part, share, slack, now)
-}
-
-// failures tells how many of the attempts of a host fail at present. Hedges leave that share
-// of the budget to the retries that are to come: a hedge may prove needless, a retry replaces
-// what has failed. It is safe for concurrent use.
-type failures struct {
-	mu     sync.Mutex
-	window *retry.Window
-}
-
-// failureSpan is the time over which failures are counted: so long that a host with one query
-// a second knows, so short that hedges come back soon.
-const failureSpan = 4 * time.Second
-
-func newFailures() *failures { return &failures{window: retry.NewWindow(failureSpan)} }
-
-// note takes in an attempt.
-func (f *failures) note(kind attemptKind, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch kind {
-	case firstAttempt:
-		f.window.First(1, now)
-	case retryAttempt:
-		f.window.Extra(1, now)
-	}
-}
-
-// share returns the share of the attempts that is retried.
-func (f *failures) share(now time.Time) float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.window.Share(now)
+	return g.extra(part, budgetShare*s.GetShare(), slack, now)
 }
 
 // startedShare is the part of the slack of the retry budget that a host uses in
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,7 +40,6 @@
 	latency  *latencies
 	peers    *control.PeerHealth
 	reports  *reports
-	failing  *failures
 	// patience tells by route for how long callers wait.
 	patienceMu sync.Mutex
 	patience   map[string]*admission.Patience
@@ -65,7 +64,6 @@
 		requests: newRequestLog(log, int(settings.GetLog().GetRequestsPerSecond())),
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		reports:  newReports(f),
-		failing:  newFailures(),
 		patience: map[string]*admission.Patience{},
 		started:  time.Now(),
 	}
--- a/retry/window.go
+++ b/retry/window.go
@@ -28,19 +28,6 @@
 // First notes n first attempts.
 func (w *Window) First(n int, now time.Time) { w.slice(now).first += n }
 
-// Extra notes n extra attempts that were made whatever was permitted.
-func (w *Window) Extra(n int, now time.Time) { w.slice(now).extra += n }
-
-// Share returns the extra attempts of the span as a share of its first ones; 0 where there
-// are none.
-func (w *Window) Share(now time.Time) float64 {
-	first, extra := w.Counts(now)
-	if first == 0 {
-		return 0
-	}
-	return float64(extra) / float64(first)
-}
-
 // Take takes an extra attempt if, with it, the extra attempts of the span are
 // at most share times its first attempts plus slack.
 func (w *Window) Take(share, slack float64, now time.Time) bool {
