--- a/scripts/ways.sh
+++ b/scripts/ways.sh
@@ -12,7 +12,18 @@
 shift 3
 root=$PWD
 scratch=$(mktemp -d)
-trap 'rm -rf "$scratch"' EXIT
+ways=("$@")
+
+keep() { # The journal has every play, also where this is stopped.
+  local w
+  for w in "${ways[@]}"; do
+    [ -d "$scratch/$w/journal" ] || continue
+    cp -n "$scratch/$w"/journal/*.json journal/ 2>/dev/null || true
+    cp -rn "$scratch/$w/journal/blobs/." journal/blobs/ 2>/dev/null || true
+  done
+}
+trap 'keep; rm -rf "$scratch"' EXIT
+trap 'exit 1' INT TERM
 
 play() { # DIRECTORY DAY SEED: prints the worth of the day
   cd "$1"
@@ -32,10 +43,6 @@
   echo "$revision $day $seed"
 done; done; done >"$scratch/plays"
 xargs -P "${JOBS:-4}" -L 1 bash -c 'echo "$2 $3 $1 $(play "$0/$1" "$2" "$3")"' "$scratch" <"$scratch/plays" >"$scratch/worths"
-for revision in "$@"; do
-  cp -n "$scratch/$revision"/journal/*.json journal/
-  cp -rn "$scratch/$revision/journal/blobs/." journal/blobs/
-done
 
 sort "$scratch/worths" | awk -v order="$*" '
   { key = $1 " " $2; worth[key, $3] = $4; if ($5 != "kept") note[key] = note[key] " " $3 ":" $5; if (!(key in seen)) { seen[key] = 1; keys[++n] = key } }
