A cold server is bound from the moment at which it is known

Between the news of a server and the working out of all parts its record had no part, and so no bound: for microseconds every host could send it what it liked. Found by reading the diff; the test takes a slot in that moment.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -107,8 +106,7 @@
 	if !slices.Contains(q.leftOut, n) {
 		q.leftOut = append(q.leftOut, n)
 	}
-	expected, run := q.groups[n].soonest(q.entry.Homes, now)
-	q.putOff[n] = fmt.Sprintf("left to others, as its servers take long (%v, %v with the wait)", run.Round(time.Millisecond), expected.Round(time.Millisecond))
+	q.putOff[n] = "left to others, as its servers take long"
 	q.state.Later(n, now.Add(leftOutFor))
 }
 
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,9 @@
 
 	"github.com/mallowgap/mallowgap/api/settingspb"
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/internal/control"
+	"github.com/mallowgap/mallowgap/limit"
+	"github.com/mallowgap/mallowgap/replica"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -61,7 +65,7 @@
 // coldMost is the bound that the settings of these tests and a service with 10 a second give.
 const coldMost = 10*1.5 + 5
 
-// settle sets the bound of the pages on the hosts' settings.
+// coldSettings sets the bound of the pages on the hosts' settings.
 func coldSettings(t *testing.T, hosts []hostSpec) []*settingspb.Gateway {
 	var files []*settingspb.Gateway
 	for _, h := range hosts {
@@ -152,3 +156,16 @@
 		})
 	}
 }
+
+// A cold server is bound from the moment at which it is known, not only once the parts of all
+// servers were worked out anew.
+func TestColdServerIsBoundAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFleet(location{name: "h", domain: "a1", region: "a"}, time.Second)
+	bound := limit.ColdBound{PerSecond: 1, Excess: 1, Slack: 1}
+	shares := func(discovery.Server) control.Share { return control.Share{Conns: 5, Hosts: 1, Cold: bound} }
+	f.update([]discovery.Server{{ID: "i", Service: "s", Domain: "a1", Slots: 2, ColdUntil: now.Add(time.Minute)}}, shares, now)
+	_, err := f.group("s").take(f.server("i"), replica.Due{Objective: time.Second, Left: time.Second}, now)
+	var cold *coldError
+	assert.Assert(t, errors.As(err, &cold), "%v", err)
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -212,7 +212,7 @@
 
 // adopt returns the backend for a registration, keeping what was observed.
 func adopt(old *backend, s discovery.Server, p location, own control.Share, now time.Time) *backend {
-	b := &backend{Server: s, region: p.regions[s.Domain]}
+	b := &backend{Server: s, region: p.regions[s.Domain], share: own}
 	if old != nil {
 		b.leaf, b.cold, b.saidUnreadable = old.leaf, old.cold, old.saidUnreadable
 	} else {
