--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -103,7 +103,7 @@
 TestShardsThatCannotBeInTimeComeLast@scarcity/scarcity.go@s/case shards\[i\].Expected <= left:/case true:/@a shard without a server is asked first
 TestQueriesThatNeedNoneLeaveThemToOthers@scarcity/scarcity.go@s/if count > spare \{/if false {/@queries that need no scarce shard take its places
 TestNoMoreAreAskedThanTheLeastShareNeeds@scarcity/scarcity.go@s/\t\t\tverdicts\[i\] = LeaveOut/\t\t\tverdicts[i] = Ask/@more scarce shards are asked than needed
-TestRequestsStayInTheirHomes@internal/gateway/pick.go@s/if !homes.Allow\(b.region\) \{/if false {/@servers outside the homes get requests
+TestRequestsStayInTheirHomes@internal/gateway/pick.go@s/if !homes.Allow\(b.region\) \{/if !homes.Allow(b.region) && false {/@servers outside the homes get requests
 TestRequestsStayInTheirHomes|TestTwoHomesShareTheRequests@route/homes.go@s/return len\(h\) == 0 \|\| /return true || /@every region is a home
 TestEvacuatedDomainGetsNothing@internal/gateway/fleet.go@s/if s.Draining \|\| s.Evacuated \{/if s.Draining {/@an evacuated server gets requests
 TestServerUnderItsOldIdentifierStartsAnew@internal/gateway/fleet.go@s/return s.Replaces\(before\) \|\| /return /@what was observed of a former process stays
