--- a/internal/explain/profile.go
+++ b/internal/explain/profile.go
@@ -9,7 +9,7 @@
 	"text/tabwriter"
 )
 
-// maxAsked is the number of servers from which a missing part counts as asked of many.
+// maxAsked is the number of servers from which on a missing part counts in the last column.
 const maxAsked = 2
 
 // Profile tells, by route, how long queries over shards took, what their answers lack and
@@ -20,10 +20,14 @@
 
 // routeProfile sums up the queries of one route.
 type routeProfile struct {
-	elapsed                 []float64
-	lacking, missing        int
+	// elapsed are the times of the queries, in milliseconds.
+	elapsed []float64
+	// lacking counts the answers that lack parts, missing the parts.
+	lacking, missing int
+	// hedges, retries and denied count extra attempts, and those for which no budget was left.
 	hedges, retries, denied float64
-	asked                   [maxAsked + 1]int
+	// asked counts missing parts by the number of servers that were asked for them.
+	asked [maxAsked + 1]int
 }
 
 // ProfileOf reads the lines of queries over shards.
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -12,4 +12,8 @@
 // one short message crosses the long way instead of many. A relay takes no
 // decision: which server is called, and how often, is decided where the
 // request came in.
+//
+// A request whose route names home regions is seen by servers and hosts of these
+// only, and by the host that its caller reached. Nothing is sent to a server that
+// drains, or whose failure domain is evacuated; what runs there ends by itself.
 package gateway
