--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -288,7 +288,8 @@
 	}
 	server, err := s.decode.DecodeServer(e.Name, e.Value)
 	if err != nil {
-		s.unreadable.Warn().Err(err).Str("server", e.Name).Uint64("revision", e.Revision).Bool("was_in_use", s.registry.Drop(e.Name)).
+		wasInUse := s.registry.Drop(e.Name)
+		s.unreadable.Warn().Err(err).Str("server", e.Name).Uint64("revision", e.Revision).Bool("was_in_use", wasInUse).
 			Msg("server entry cannot be read: it names no server to use until it can")
 		return
 	}
