A test that failed once in 16 runs is traced: its load went elsewhere by chance

Two servers of which nothing is known yet are equals, and which one gets a request is drawn: all four go to the other one in 1 of 16 runs. The code is right; the test made its condition by chance.

--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -107,8 +107,7 @@
 // process before is forgotten, and that one's late entry changes nothing.
 func TestServerUnderItsOldIdentifierStartsAnew(t *testing.T) {
 	old := discovery.Server{ID: "s@1", Service: "single", Address: "x", Domain: "a1", Slots: 2, Born: 1000}
-	other := discovery.Server{ID: "s@2", Service: "single", Address: "y", Domain: "a1", Slots: 2, Born: 1000}
-	inWorld(t, shardedConfig(1, 1), []discovery.Server{old, other}, oneHost, func(w *world) {
+	inWorld(t, shardedConfig(1, 1), []discovery.Server{old}, oneHost, func(w *world) {
 		w.leafs.set("s@1", silent)
 		for range 4 {
 			r := w.newRequest("/once/x")
@@ -131,7 +130,7 @@
 		for i := range 6 {
 			assert.Equal(t, w.ask("host1", fmt.Sprint("/one/", i)).Outcome, Forwarded)
 		}
-		assert.Assert(t, w.leafs.arrivals("s@1") > 0)
+		assert.Equal(t, w.leafs.arrivals("s@1"), 4+6)
 	})
 }
 
