Read once more: a twin, a copy on each query and a function that nobody called

Cause: the change asked "is this host among these" in four places beside each other, and read numbers of a log line anew beside Line.number; a query without homes, which is nearly every one, copied the relays of each domain that it calls to filter nothing; Registry.Evacuated had no caller.

Change: isAmong serves Share.Calls, Share.CallsCold and View.Knows; Line.number serves the summary too; the relays are copied only where homes filter them; Registry.Evacuated is gone. Behaviour is as before and no test is touched.

Ruled out: working out the parts of all servers once instead of twice at each change (update and setShares): it was so before, and a new server has to be bound from the first moment.

--- a/discovery/registry.go
+++ b/discovery/registry.go
@@ -130,9 +130,6 @@
 	return true
 }
 
-// Evacuated returns the failure domains whose servers are to get nothing, sorted.
-func (r *Registry) Evacuated() []string { return slices.Sorted(maps.Keys(r.evacuated)) }
-
 // Server returns a server by its identifier.
 func (r *Registry) Server(id string) (Server, bool) {
 	e, ok := r.entries[id]
--- a/internal/control/callers.go
+++ b/internal/control/callers.go
@@ -132,9 +132,9 @@
 func (s Share) CallsCold(name, domain string) bool {
 	n := s.ColdCallers()
 	if s.relays != nil {
-		return slices.ContainsFunc(s.relays[:min(n, len(s.relays))], func(h Host) bool { return h.Name == name })
+		return isAmong(s.relays[:min(n, len(s.relays))], name)
 	}
-	return s.hosts != nil && slices.ContainsFunc(s.hosts.in(s.server.ID, domain, n), func(h Host) bool { return h.Name == name })
+	return s.hosts != nil && isAmong(s.hosts.in(s.server.ID, domain, n), name)
 }
 
 // Calls reports whether a host calls the server itself.
@@ -143,5 +143,10 @@
 	if s.chooser != nil {
 		among = s.chooser.in(s.server.ID, domain, s.Hosts)
 	}
-	return among == nil || slices.ContainsFunc(among, func(h Host) bool { return h.Name == name })
+	return among == nil || isAmong(among, name)
+}
+
+// isAmong reports whether a host is one of some.
+func isAmong(hosts []Host, name string) bool {
+	return slices.ContainsFunc(hosts, func(h Host) bool { return h.Name == name })
 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -86,7 +86,7 @@
 // Knows reports whether the store names a host of a failure domain. One that it does not
 // name yet calls servers itself.
 func (v *View) Knows(name, domain string) bool {
-	return slices.ContainsFunc(v.Hosts[domain], func(h Host) bool { return h.Name == name })
+	return isAmong(v.Hosts[domain], name)
 }
 
 // AnyFarRegion returns one of the regions in which other hosts stand, at
--- a/internal/explain/profile.go
+++ b/internal/explain/profile.go
@@ -72,12 +72,6 @@
 	return len(strings.Fields(servers))
 }
 
-// number returns a field that is a number, or 0.
-func (l Line) number(name string) float64 {
-	n, _ := l.Fields[name].(float64)
-	return n
-}
-
 // Write prints a row for each route.
 func (p Profile) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -52,8 +52,7 @@
 			continue
 		}
 		f := l.fate()
-		rank, _ := l.Fields["rank"].(float64)
-		s.byCause[causeKey{l.field("route"), int(rank), f, l.field("cause")}]++
+		s.byCause[causeKey{l.field("route"), int(l.number("rank")), f, l.field("cause")}]++
 		span := l.Time.Truncate(summarySpan)
 		if s.byTime[span] == nil {
 			s.byTime[span] = map[fate]int{}
@@ -69,12 +68,16 @@
 	return text
 }
 
+// number returns a field that is a number, or 0.
+func (l Line) number(name string) float64 {
+	n, _ := l.Fields[name].(float64)
+	return n
+}
+
 // fate works out what became of the request of a line.
 func (l Line) fate() fate {
-	elapsed, _ := l.Fields["elapsed"].(float64)
-	objective, _ := l.Fields["objective"].(float64)
-	missing, _ := l.Fields["missing"].(float64)
-	status, _ := l.Fields["status"].(float64)
+	elapsed, objective := l.number("elapsed"), l.number("objective")
+	missing, status := l.number("missing"), l.number("status")
 	switch outcome := l.field("outcome"); {
 	case outcome == "not_run":
 		return fateRefused
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -126,6 +126,9 @@
 func (q *query) relays(domain string, c *call) []control.Host {
 	if q.entry.Query != nil {
 		hosts := q.view.Relays(domain, int(q.gateway.settings.GetRelay().GetHostsPerDomain()))
+		if len(q.entry.Homes) == 0 {
+			return hosts
+		}
 		return slices.DeleteFunc(slices.Clone(hosts), func(h control.Host) bool { return !q.entry.Homes.Allow(h.Region) })
 	}
 	return slices.DeleteFunc(slices.Clone(c.share.Callers()), func(h control.Host) bool {
