Sight: a line for each server that ended with a request, with the request's fingerprint

Ruled out: telling it from the common lines, whose bound the refused connections of the outage use up.

Change: where a call breaks off, the host that made it connects once more: refused, and only then, the server has ended. A relay passes that on.

--- a/discovery/registry.go
+++ b/discovery/registry.go
@@ -21,6 +21,8 @@
 	Address string
 	// Domain is the failure domain it stands in.
 	Domain string
+	// Version is that of its software; empty is unknown.
+	Version string
 	// Slots is the number of requests it runs at a time.
 	Slots int
 	// Draining servers finish what they have and get nothing new.
--- a/internal/gateway/deaths_test.go
+++ b/internal/gateway/deaths_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/discovery"
+	"github.com/mallowgap/mallowgap/quarantine"
 )
 
 // An incident, as its hosts saw it: three times in a day all servers of a sharded service
@@ -92,12 +95,14 @@
 	}
 	m.away[s.ID] = true
 	m.deaths = append(m.deaths, arrival{time.Now(), request})
+	m.w.leafs.setEnded(s.ID, true)
 	close(m.died[s.ID])
 	time.AfterFunc(min(mortalLapse, down), func() { m.w.store.RemoveServer(s.ID) })
 	time.AfterFunc(down, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.died[s.ID], m.away[s.ID] = make(chan struct{}), false
+		m.w.leafs.setEnded(s.ID, false)
 		s.Born = time.Now().UnixMilli()
 		m.w.store.PutServer(s)
 	})
@@ -184,3 +189,24 @@
 		})
 	}
 }
+
+// An engineer on call sees which request a server ended with, known by its content: the other
+// lines of such an outage leave no room for it. A broken connection alone is no end.
+func TestLogTellsWithWhichRequestAServerEnded(t *testing.T) {
+	var log bytes.Buffer
+	servers := serversOf([]string{"single"}, "a1")
+	file := settingsOf(t, oneHost[0])
+	inWorld(t, shardedConfig(1, 1), servers, nil, func(w *world) {
+		w.log = zerolog.New(zerolog.SyncWriter(&log))
+		w.start(file)
+		time.Sleep(time.Second)
+		w.leafs.set("single", breakOff)
+		w.ask("host1", "/one/reset")
+		w.leafs.setEnded("single@a1", true)
+		w.ask("host1", "/one/end")
+	})
+	print := quarantine.Of(quarantine.Content{Method: "GET", Host: "desk.example", Target: "/one/end"})
+	const each = 2 // The request has two attempts.
+	assert.Equal(t, strings.Count(log.String(), `"message":"server ended with a request`), each, log.String())
+	assert.Assert(t, strings.Contains(log.String(), `"fingerprint":"`+print.String()+`","server":"single@a1"`), log.String())
+}
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -90,6 +90,9 @@
 	// server cannot have run the request; after any other it may have. fresh
 	// asks for a connection that was not idle for long.
 	Call(ctx context.Context, server discovery.Server, request *Request, timeout time.Duration, fresh bool) (*Reply, error)
+	// Ended reports whether nothing listens at a server's address any more. Where that
+	// cannot be found out within the time of a message there and back, it has not.
+	Ended(ctx context.Context, server discovery.Server) bool
 	// Forget closes the idle connections to a server that is gone.
 	Forget(server discovery.Server)
 }
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -117,6 +117,8 @@
 	// without its wait; 0 is unknown.
 	load Load
 	ran  time.Duration
+	// ended tells of a call that failed that the server ended with it.
+	ended bool
 }
 
 // run makes attempts until the request is answered or its time is up.
@@ -271,6 +273,9 @@
 	q.failure = r.reason
 	q.code = CodeServerFailed
 	q.mayHaveRun = true
+	if r.ended {
+		q.gateway.requests.logEnd(q.request, q.groups[r.shard].service, r)
+	}
 	q.state.Ended(r.shard)
 	if r.reply != nil {
 		q.reply = r.reply
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -40,6 +40,11 @@
 	out := result{server: c.backend.ID, elapsed: elapsed}
 	c.group.calls.Update(elapsed.Seconds())
 	evidence := classify(&out, reply, err, ctx.Err() != nil)
+	if evidence == callFailed && out.outcome == relaypb.Outcome_FAILED && reply == nil && callCtx.Err() == nil {
+		// A connection that breaks is no death: it may be an idle one that the server forgot,
+		// a lost answer or a cut. A server that has ended refuses the next connection.
+		out.ended = g.edges.Leafs.Ended(ctx, c.backend.Server)
+	}
 	ran, ejected := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load}, now)
 	out.ran = ran
 	if ejected {
@@ -247,7 +252,7 @@
 	out := result{
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
-		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
+		ended: r.GetServerEnded(), unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
 	}
 	if reply := r.GetReply(); reply != nil {
 		out.reply = decodeReply(reply, r.GetSignature())
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -55,7 +55,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{t: t, store: fakestore.New(), hosts: map[string]*Gateway{}, ctx: ctx}
-		w.leafs = &fakeLeafs{behave: map[string]behaviour{}, served: map[string]int{}, requests: map[string][]arrival{}}
+		w.leafs = &fakeLeafs{behave: map[string]behaviour{}, served: map[string]int{}, requests: map[string][]arrival{}, ended: map[string]bool{}}
 		w.peers = &fakePeers{world: w, cut: map[string]bool{}, passed: map[string]int{}}
 		w.store.PutConfig(config)
 		for _, s := range servers {
@@ -169,6 +169,7 @@
 	behave   map[string]behaviour
 	served   map[string]int
 	requests map[string][]arrival
+	ended    map[string]bool
 }
 
 const leafTime = 10 * time.Millisecond
@@ -189,6 +190,20 @@
 
 func (f *fakeLeafs) Forget(discovery.Server) {}
 
+// Ended implements Leafs: a server that has ended is one that the test says so of.
+func (f *fakeLeafs) Ended(_ context.Context, s discovery.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended[s.ID]
+}
+
+// setEnded says whether a server has ended.
+func (f *fakeLeafs) setEnded(id string, ended bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended[id] = ended
+}
+
 // set says what a server, or all servers of a service, do.
 func (f *fakeLeafs) set(id string, b behaviour) {
 	f.mu.Lock()
--- a/purity_test.go
+++ b/purity_test.go
@@ -16,7 +16,7 @@
 
 // decisionPackages are importable without the daemon and any transport.
 var decisionPackages = []string{
-	"admission", "config", "discovery", "drain", "fanout", "limit", "member", "once", "rendezvous", "replica", "retry", "route", "scarcity", "scatter",
+	"admission", "config", "discovery", "drain", "fanout", "limit", "member", "once", "quarantine", "rendezvous", "replica", "retry", "route", "scarcity", "scatter",
 	"snapshot",
 }
 
