A machine that was suspended doubts what it knows until it is confirmed

Cause: all timers, ages and leases go by the steady clock, which stands still while a machine is suspended. A host that woke was ready with a configuration that had changed meanwhile, until its next watch came; its request went on for callers that were gone, on connections that may be silent.

Ruled out: a stopped process shows this - its steady clock runs on; the soak's freezes never did.

Change: internal/suspend reads how long the machine was suspended. On waking a host makes what it knows older, is not ready until the store or the host that it follows is heard (1 s at most), gives up the call that waits, renews its lease, closes idle connections and ends requests whose time is over. Ages that the announcer kept by the time of day go by the steady clock: a jump held entries back.

--- a/discovery/registry.go
+++ b/discovery/registry.go
@@ -175,6 +175,19 @@
 	return gone
 }
 
+// Slept takes in that the machine was suspended for a time, which the clock of the registry
+// did not count.
+func (r *Registry) Slept(d time.Duration) {
+	if !r.trustFrom.IsZero() {
+		r.trustFrom = r.trustFrom.Add(-d)
+	}
+	for _, e := range r.entries {
+		if !e.server.ColdUntil.IsZero() {
+			e.server.ColdUntil = e.server.ColdUntil.Add(-d)
+		}
+	}
+}
+
 // Servers returns all servers, in the order of their identifiers.
 func (r *Registry) Servers() []Server {
 	servers := make([]Server, 0, len(r.entries))
--- a/fanout/query.go
+++ b/fanout/query.go
@@ -110,6 +110,11 @@
 	return max(1, int(math.Ceil(q.settings.MinShare*float64(q.settings.Shards))))
 }
 
+// Slept takes in that the machine was suspended for a time, which the clock did not count.
+func (q *Query) Slept(d time.Duration) {
+	q.settings.AnswerAt, q.settings.End = q.settings.AnswerAt.Add(-d), q.settings.End.Add(-d)
+}
+
 // Need is a shard that another attempt may be made for.
 type Need struct {
 	Shard int
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -52,17 +52,22 @@
 	log      zerolog.Logger
 	view     func() *View
 	wake     chan struct{}
-	// followed tells that another host keeps the entry of this one, orphanSince (Unix
-	// nanoseconds) since when none does.
+	// epoch is when the announcer was made. Moments that several goroutines read are kept as
+	// the nanoseconds since then, by the steady clock: the time of day may jump.
+	epoch time.Time
+	// followed tells that another host keeps the entry of this one, orphanSince since when
+	// none does.
 	followed    atomic.Bool
 	orphanSince atomic.Int64
-	// failing (Unix nanoseconds) is since when the store takes no call; 0: it does.
+	// failing is since when the store takes no call; 0: it does.
 	failing atomic.Int64
 
 	mu        sync.Mutex
 	followers map[string]*follower
 
-	// selfFrom (Unix nanoseconds) is from when on this host announces itself if it has
+	// wokeUp tells that the machine was suspended: the lease may have ended meanwhile.
+	wokeUp atomic.Bool
+	// selfFrom is from when on this host announces itself if it has
 	// followed nobody since its start.
 	selfFrom atomic.Int64
 
@@ -98,12 +103,14 @@
 		name: c.name, strength: max(c.self.GetStrength(), leastStrength), value: value, ttl: ttl, store: c.store, log: c.log, view: c.View,
 		wake: make(chan struct{}, 1), followers: map[string]*follower{}, written: map[string]writtenEntry{},
 	}
-	now := time.Now()
-	a.orphanSince.Store(now.UnixNano())
-	a.selfFrom.Store(now.Add(longestStart).UnixNano())
+	a.epoch = time.Now()
+	a.selfFrom.Store(a.since(a.epoch.Add(longestStart)))
 	return a
 }
 
+// since returns a moment as what is kept of it.
+func (a *announcer) since(at time.Time) int64 { return int64(at.Sub(a.epoch)) }
+
 const (
 	// leastStrength bounds the wait of hosts whose strength is odd.
 	leastStrength = 0.1
@@ -125,7 +132,7 @@
 	if follows {
 		now = now.Add(orphanWait)
 	}
-	a.selfFrom.Store(now.UnixNano())
+	a.selfFrom.Store(a.since(now))
 	a.nudge()
 }
 
@@ -137,12 +144,18 @@
 	}
 }
 
+// woke makes the announcing goroutine renew its lease at once.
+func (a *announcer) woke() {
+	a.wokeUp.Store(true)
+	a.nudge()
+}
+
 // setFollowed notes whether another host keeps the entry of this one.
 func (a *announcer) setFollowed(followed bool) {
 	if a.followed.Swap(followed) == followed {
 		return
 	}
-	a.orphanSince.Store(time.Now().UnixNano())
+	a.orphanSince.Store(a.since(time.Now()))
 	a.nudge()
 }
 
@@ -175,7 +188,7 @@
 // keeps reports whether followers can rely on this host to keep their entries.
 func (a *announcer) keeps(now time.Time) bool {
 	since := a.failing.Load()
-	return since == 0 || now.Sub(time.Unix(0, since)) < a.ttl/2
+	return since == 0 || time.Duration(a.since(now)-since) < a.ttl/2
 }
 
 // run keeps the entries until ctx ends, then removes that of this host.
@@ -196,6 +209,9 @@
 
 // step makes the calls of the store that are due.
 func (a *announcer) step(ctx context.Context, now time.Time) {
+	if a.wokeUp.Swap(false) {
+		a.renewAt, a.retryAt = now, time.Time{}
+	}
 	if now.Before(a.retryAt) {
 		return
 	}
@@ -222,7 +238,7 @@
 		return
 	}
 	a.retryAt = now.Add(retryLongest)
-	if a.failing.CompareAndSwap(0, now.UnixNano()) {
+	if a.failing.CompareAndSwap(0, max(a.since(now), 1)) {
 		a.log.Warn().Err(err).Msg("the entries kept here could not be written; it will be tried again")
 	}
 }
@@ -276,11 +292,11 @@
 	if _, ok := a.written[a.name]; ok {
 		return true
 	}
-	orphan := time.Unix(0, a.orphanSince.Load())
-	if from := time.Unix(0, a.selfFrom.Load()); !orphan.After(from) {
-		return !now.Before(from) // It has followed nobody since its start.
+	orphan := a.orphanSince.Load()
+	if from := a.selfFrom.Load(); orphan <= from {
+		return a.since(now) >= from // It has followed nobody since its start.
 	}
-	return now.Sub(orphan) >= orphanWait
+	return time.Duration(a.since(now)-orphan) >= orphanWait
 }
 
 // followersToKeep returns the entries of the hosts that follow this one, and plans the
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/api/settingspb"
+	"github.com/mallowgap/mallowgap/internal/suspend"
 	"github.com/mallowgap/mallowgap/limit"
 )
 
@@ -28,7 +29,10 @@
 	Store    Store
 	Peers    Peers
 	Listener Listener
-	Log      zerolog.Logger
+	// Suspended tells for how long the machine has been suspended since it started; nil is
+	// suspend.Total.
+	Suspended func() time.Duration
+	Log       zerolog.Logger
 }
 
 // Control follows the store and the peers of one host.
@@ -46,6 +50,10 @@
 	records  *recorder
 	packer   entryPacker
 	rereads  *metrics.Counter
+	// suspended tells for how long the machine has been suspended; awake has a value when it
+	// has woken.
+	suspended func() time.Duration
+	awake     chan struct{}
 
 	// loaded, followed and heldOff belong to the goroutine that follows the store.
 	loaded   bool
@@ -78,6 +86,10 @@
 		heldOff: map[string]time.Time{},
 		better:  make(chan struct{}, 1),
 		leave:   make(chan struct{}),
+		awake:   make(chan struct{}, 1), suspended: config.Suspended,
+	}
+	if c.suspended == nil {
+		c.suspended = suspend.Total
 	}
 	c.state.cold = config.Cold
 	c.announce = newAnnouncer(c, config.Settings.GetLease().AsDuration())
@@ -101,6 +113,7 @@
 	c.duty(func() { c.probePeers(ctx) })
 	c.duty(func() { c.announce.run(announceCtx) })
 	c.duty(func() { c.records.run(ctx) })
+	c.duty(func() { c.watchClock(ctx) })
 }
 
 func (c *Control) duty(run func()) {
--- a/internal/control/fakestore/fakestore.go
+++ b/internal/control/fakestore/fakestore.go
@@ -270,6 +270,9 @@
 	return true, nil
 }
 
+// Reconnect implements control.Store.
+func (s *Store) Reconnect() {}
+
 // Names returns the names of the entries of a kind.
 func (s *Store) Names(kind relaypb.EntryKind) []string {
 	s.mu.Lock()
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -31,7 +31,7 @@
 	// is not followed, up to half as long again at random. The store may turn a
 	// host away for many seconds; to find out costs a call or two.
 	heldOffFor = 4 * time.Second
-	// probeWait is the wait of such a question.
+	// probeWait is the wait of such a question, and of one after a suspension.
 	probeWait = time.Millisecond
 )
 
@@ -39,6 +39,7 @@
 	errLeaderSilent = errors.New("nothing was heard from it")
 	errLeaderStale  = errors.New("it has not heard from the store for too long")
 	errLeaderCut    = errors.New("it lost the store, which answers here")
+	errWoke         = errors.New("this machine was suspended: its connections may be silent for good")
 	errLeaving      = errors.New("this host stops: the other is told so")
 )
 
@@ -83,7 +84,7 @@
 // same one, and one reader is enough. A second that fails costs time, which a change of
 // the configuration does not have.
 func (c *Control) leaderFailed(leader Host, err error) bool {
-	if errors.Is(err, errLeaving) {
+	if errors.Is(err, errLeaving) || errors.Is(err, errWoke) {
 		return true
 	}
 	c.leaderFailures++
@@ -162,6 +163,8 @@
 			return err
 		case <-leave:
 			return errLeaving
+		case <-c.awake:
+			return errWoke
 		case <-c.better:
 			if preferred := c.preferred.Load(); preferred != nil && *preferred != leader.Address {
 				return errLeaderCut
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -73,7 +73,9 @@
 	revision     uint64
 	storeLost    time.Time
 	// contact is when the store was last heard from, here or by others.
-	contact  time.Time
+	contact time.Time
+	// doubted is when the machine woke from a suspension, until what is known is confirmed.
+	doubted  time.Time
 	stopping bool
 	// changed is closed when there is something new to tell followers.
 	changed chan struct{}
@@ -148,6 +150,9 @@
 		clear(s.lapsed)
 	}
 	s.tally.serversGone += len(gone)
+	if now.Sub(s.doubted) >= doubtLimit {
+		s.assure(now)
+	}
 	s.tell(now)
 	if len(gone) > 0 || lapsed {
 		s.publish(now)
@@ -361,6 +366,9 @@
 	if heard.After(s.contact) {
 		s.contact = heard
 	}
+	if up {
+		s.assure(now)
+	}
 	if !up {
 		s.registry.StoreLost()
 		if s.storeLost.IsZero() {
@@ -412,18 +420,21 @@
 	}
 	v.chooser, v.Sharers = s.chooser, s.countSharers(now)
 	v.Known = v.Table != nil && s.registry.Loaded()
-	v.Ready = v.Known && !s.stopping
+	v.Doubted = !s.doubted.IsZero()
+	v.Ready = v.Known && !s.stopping && !v.Doubted
 	if v.Ready != previous.Ready {
 		s.log.Info().Bool("ready", v.Ready).Bool("stopping", s.stopping).Msg("readiness changed")
 	}
 	shares := func(server discovery.Server) Share { return v.Share(server, s.relays) }
 	s.listener.ServersChanged(s.registry.Servers(), shares, now)
+	outdated := s.changed
+	s.changed = make(chan struct{})
+	v.Outdated = s.changed
 	s.current.Store(v)
 	if v.Known && !previous.Known {
 		close(s.started)
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	close(outdated)
 }
 
 // updates is what a follower has not heard yet.
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -61,6 +61,8 @@
 	// the revision. To do so twice changes nothing, so that a call whose reply was lost can be
 	// made again.
 	Write(ctx context.Context, kind relaypb.EntryKind, lease uint64, puts map[string][]byte, remove []string) (revision uint64, err error)
+	// Reconnect gives up the connections that are idle: they may be silent for good.
+	Reconnect()
 	// Create writes an empty entry without a lease, and reports whether there was none of
 	// that name. After an error it may or may not have.
 	Create(ctx context.Context, kind relaypb.EntryKind, name string) (created bool, err error)
@@ -85,4 +87,7 @@
 	TableChanged(table *route.Table)
 	// QuarantineChanged gives an entry about a request under which servers ended.
 	QuarantineChanged(e Entry, now time.Time)
+	// Slept tells that the machine was suspended for a time, which the steady clock did not
+	// count.
+	Slept(d time.Duration)
 }
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -50,10 +50,13 @@
 				continue
 			}
 		}
-		err := c.followOnce(ctx)
+		err := c.whileAwake(ctx, c.followOnce)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errWoke) {
+			continue
+		}
 		if errors.Is(err, ErrCompacted) {
 			c.log.Info().Uint64("revision", c.followed).Msg("the store compacted its history: reading everything again")
 			c.rereads.Inc()
@@ -103,8 +106,12 @@
 		return c.read(ctx)
 	}
 	settings := c.settings
+	wait := settings.GetWatchWait().AsDuration()
+	if c.View().Doubted {
+		wait = probeWait // The store's word is wanted at once, not its next change.
+	}
 	started := time.Now()
-	err := c.watch(ctx, settings.GetWatchWait().AsDuration(), settings.GetWatchSlack().AsDuration())
+	err := c.watch(ctx, wait, settings.GetWatchSlack().AsDuration())
 	if err == nil {
 		pause.For(ctx, watchGap-time.Since(started))
 	}
--- a/internal/control/tally_test.go
+++ b/internal/control/tally_test.go
@@ -35,6 +35,7 @@
 func (noListener) ServerGone(discovery.Server)                                                {}
 func (noListener) TableChanged(*route.Table)                                                  {}
 func (noListener) QuarantineChanged(Entry, time.Time)                                         {}
+func (noListener) Slept(time.Duration)                                                        {}
 
 // fleetEntries returns the entries of hosts and of two servers for each of shards.
 func fleetEntries(hosts, shards int, revision uint64) []Entry {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -53,6 +53,10 @@
 	farRegions []string
 	// Known tells that the configuration and the servers are known.
 	Known bool
+	// Outdated is closed when another view is published.
+	Outdated <-chan struct{}
+	// Doubted tells that the machine has just woken from a suspension and heard of nobody yet.
+	Doubted bool
 	// Ready tells that requests are wanted.
 	Ready bool
 	// StoreLost is when the store was last found away; zero while it answers.
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -45,6 +45,7 @@
 func (nothing) ServerGone(discovery.Server)                                                        {}
 func (nothing) TableChanged(*route.Table)                                                          {}
 func (nothing) QuarantineChanged(control.Entry, time.Time)                                         {}
+func (nothing) Slept(time.Duration)                                                                {}
 
 const lease = 12 * time.Second
 
@@ -93,7 +94,8 @@
 	}
 	m := &member{store: &fakestore.Parted{Store: w.store}}
 	m.Control = control.New(control.Config{
-		Self: self, Settings: settings, Seeds: []string{nameOf("a", 0), nameOf("b", 0), nameOf("c", 0)}, RelaysPerDomain: 3,
+		Suspended: func() time.Duration { return 0 },
+		Self:      self, Settings: settings, Seeds: []string{nameOf("a", 0), nameOf("b", 0), nameOf("c", 0)}, RelaysPerDomain: 3,
 		Store: m.store, Peers: &peers{w, name}, Listener: nothing{}, Log: zerolog.Nop(),
 	})
 	m.ctx, m.cancel = context.WithCancel(w.ctx)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -165,6 +165,17 @@
 	return f.byID[id]
 }
 
+// servers returns all servers known.
+func (f *fleet) servers() []discovery.Server {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	all := make([]discovery.Server, 0, len(f.byID))
+	for _, b := range f.byID {
+		all = append(all, b.Server)
+	}
+	return all
+}
+
 // update takes the servers now registered, and returns those that are later processes than
 // the ones known before under their identifiers. shares gives this host's part of a server.
 func (f *fleet) update(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) (restarted []discovery.Server) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,9 @@
 	Store control.Store
 	Leafs Leafs
 	Peers Peers
+	// Suspended tells for how long the machine has been suspended since it started; nil: the
+	// clocks of the system tell.
+	Suspended func() time.Duration
 }
 
 // Gateway is the daemon.
@@ -41,6 +44,7 @@
 	peers    *control.PeerHealth
 	reports  *reports
 	guard    *guard
+	sleep    *sleep
 	// patience tells by route for how long callers wait.
 	patienceMu sync.Mutex
 	patience   map[string]*admission.Patience
@@ -66,6 +70,7 @@
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		reports:  newReports(f),
 		guard:    newGuard(h.GetName(), log),
+		sleep:    newSleep(),
 		patience: map[string]*admission.Patience{},
 		started:  time.Now(),
 	}
@@ -73,7 +78,7 @@
 		Self: g.self, Settings: settings.GetStore(), Seeds: list(settings.GetStore().GetSeeds()),
 		RelaysPerDomain: int(settings.GetRelay().GetHostsPerDomain()),
 		Cold:            limit.ColdBound{Excess: settings.GetCold().GetExcess(), Slack: settings.GetCold().GetSlack()},
-		Store:           edges.Store, Peers: edges.Peers, Listener: listener{g}, Log: log,
+		Store:           edges.Store, Peers: edges.Peers, Listener: listener{g}, Suspended: edges.Suspended, Log: log,
 	})
 	g.peers = g.control.Health()
 	g.guard.keeper = g.control
@@ -105,6 +110,17 @@
 // QuarantineChanged implements control.Listener.
 func (l listener) QuarantineChanged(e control.Entry, now time.Time) { l.gateway.guard.learn(e, now) }
 
+// Slept implements control.Listener: requests in hand are as much older, and connections that
+// are idle may be silent for good.
+func (l listener) Slept(d time.Duration) {
+	l.gateway.sleep.add(d)
+	go func() {
+		for _, server := range l.gateway.fleet.servers() {
+			l.gateway.edges.Leafs.Forget(server)
+		}
+	}()
+}
+
 // State implements the relay protocol.
 func (g *Gateway) State(ctx context.Context, m *relaypb.StateRequest) (*relaypb.StateReply, error) {
 	return g.control.State(ctx, m)
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -70,6 +70,9 @@
 	farRegion string
 	state     *fanout.Query
 	events    chan event
+	// asleep is for how long the machine has been suspended, woken is closed when that grows.
+	asleep time.Duration
+	woken  <-chan struct{}
 	// stopCalls ends the calls that run.
 	stopCalls context.CancelFunc
 	// news is closed when some request is barred.
@@ -207,6 +210,8 @@
 	case <-q.news:
 		q.news = q.gateway.guard.news()
 		q.heardNews()
+	case <-q.woken:
+		q.slept()
 	case <-timer.C:
 	case <-ctx.Done():
 		return true
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,6 +32,8 @@
 	relaySlotTries = 4
 )
 
+var errSuspended = errors.New("the time of the call was over while this machine was suspended")
+
 // Gather implements the relay protocol: it calls the servers named and merges
 // their parts. It chooses nothing and repeats nothing.
 func (g *Gateway) Gather(m *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
@@ -71,6 +73,7 @@
 	soft := time.NewTimer(wait)
 	defer soft.Stop()
 	var refusals <-chan time.Time
+	asleep, woken := g.sleep.now()
 	for gathered.open > 0 {
 		select {
 		case one := <-results:
@@ -100,6 +103,12 @@
 			if err := stream.Send(g.withReport(gathered.flush(false))); err != nil {
 				return err
 			}
+		case <-woken:
+			var total time.Duration
+			total, woken = g.sleep.now()
+			if time.Since(started)+total-asleep >= timeout {
+				return errSuspended // The other host has given up long ago.
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,20 +48,32 @@
 	return answer
 }
 
-// startedView returns the view in force. On a host that has just started it
-// waits for a moment until there is something to know.
+// startedView returns the view in force. On a host that has just started, or woken from a
+// suspension, it waits for a moment until there is something to know, or what is known is
+// confirmed.
 func (g *Gateway) startedView(ctx context.Context) *control.View {
-	if v := g.control.View(); v.Known {
+	if v := g.control.View(); v.Known && !v.Doubted {
 		return v
 	}
 	timer := time.NewTimer(startWait)
 	defer timer.Stop()
-	select {
-	case <-g.control.Known():
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		v := g.control.View()
+		news := g.control.Known()
+		if v.Known {
+			news = v.Outdated
+		}
+		if v.Known && !v.Doubted {
+			return v
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return g.control.View()
+		case <-ctx.Done():
+			return g.control.View()
+		}
 	}
-	return g.control.View()
 }
 
 // Limits returns what callers may send by the configuration in force.
@@ -151,6 +163,7 @@
 		p.due = p.end
 	}
 	p.news = g.guard.news()
+	p.asleep, p.woken = g.sleep.now()
 	p.putOff = map[int]string{}
 	p.tried = make([][]string, settings.Shards)
 	p.counted = make([]bool, settings.Shards)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -36,6 +36,9 @@
 	hosts  map[string]*Gateway
 	ctx    context.Context
 	nextID int
+	// asleep tells for how long a host's machine has been suspended.
+	asleepMu sync.Mutex
+	asleep   map[string]time.Duration
 	// log is the log of the gateways that are started; none by default.
 	log zerolog.Logger
 }
@@ -54,7 +57,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := &world{t: t, store: fakestore.New(), hosts: map[string]*Gateway{}, ctx: ctx}
+		w := &world{t: t, store: fakestore.New(), hosts: map[string]*Gateway{}, asleep: map[string]time.Duration{}, ctx: ctx}
 		w.leafs = &fakeLeafs{behave: map[string]behaviour{}, served: map[string]int{}, requests: map[string][]arrival{}, ended: map[string]bool{}}
 		w.peers = &fakePeers{world: w, cut: map[string]bool{}, passed: map[string]int{}}
 		w.store.PutConfig(config)
@@ -72,13 +75,28 @@
 	})
 }
 
+// suspended returns for how long the machine of a host has been suspended.
+func (w *world) suspended(host string) time.Duration {
+	w.asleepMu.Lock()
+	defer w.asleepMu.Unlock()
+	return w.asleep[host]
+}
+
+// suspend adds a suspension of a host's machine, at the moment at which it wakes.
+func (w *world) suspend(host string, d time.Duration) {
+	w.asleepMu.Lock()
+	defer w.asleepMu.Unlock()
+	w.asleep[host] += d
+}
+
 func (w *world) start(file *settingspb.Gateway) *Gateway {
 	return w.startOn(file, &fakestore.Parted{Store: w.store})
 }
 
 // startOn starts a gateway on a store of its own kind.
 func (w *world) startOn(file *settingspb.Gateway, store control.Store) *Gateway {
-	g := New(file, Edges{Store: store, Leafs: w.leafs, Peers: w.peers}, w.log)
+	name := file.GetHost().GetName()
+	g := New(file, Edges{Store: store, Leafs: w.leafs, Peers: w.peers, Suspended: func() time.Duration { return w.suspended(name) }}, w.log)
 	w.peers.add(file.GetListen().GetPeers(), g)
 	w.hosts[file.GetHost().GetName()] = g
 	g.Start(w.ctx)
