The test of a host that wakes shows the fault where the mend is taken out

Change: the open connections hang until they are given up, as they do on a machine that slept. The test is stricter; nothing else changed.

--- a/internal/gateway/suspend_test.go
+++ b/internal/gateway/suspend_test.go
@@ -15,13 +15,19 @@
 // its timeouts run. In fake time that is a moment in which the host is cut off while much
 // happens elsewhere, and a jump of the clock that counts suspensions.
 
-// sleepThrough suspends a host that uses a store of its own while something happens.
+// sleepThrough suspends a host that uses a store of its own while something happens. Its open
+// connections are silent for good; new ones work.
 func (w *world) sleepThrough(g *Gateway, store *fakestore.Parted, d time.Duration, happens func()) {
-	store.Cut.Store(true)
-	w.peers.setCut(g, true)
+	setCut := func(cut bool) {
+		store.Cut.Store(cut)
+		for _, h := range w.hosts {
+			w.peers.setCut(h, cut)
+		}
+	}
+	setCut(true)
 	happens()
-	store.Cut.Store(false)
-	w.peers.setCut(g, false)
+	synctest.Wait()
+	setCut(false)
 	w.suspend(g.name, d)
 }
 
