An engineer on call finds the request that ends servers, and an operator lets it go

Cause: the lines told of single ends; which request it was, at which hosts, since when it is turned away and who was harmed beside it had to be put together by hand, and nothing but time let a request go.

--- a/cmd/mallowgap/explain.go
+++ b/cmd/mallowgap/explain.go
@@ -9,8 +9,9 @@
 )
 
 type explainCommand struct {
-	Summary bool `long:"summary" description:"Count what became of all requests, by route, cause and time; give log files only."`
-	Args    struct {
+	Summary    bool `long:"summary" description:"Count what became of all requests, by route, cause and time; give log files only."`
+	Quarantine bool `long:"quarantine" description:"Tell of the requests under which servers ended; give log files only."`
+	Args       struct {
 		Words []string `positional-arg-name:"REQUEST-ID LOG" description:"Identifier of the request, then the log files of the hosts." required:"1"`
 	} `positional-args:"yes" required:"yes"`
 }
@@ -31,6 +32,13 @@
 		fmt.Println()
 		return explain.Summarize(lines).Write(os.Stdout)
 	}
+	if c.Quarantine {
+		lines, err := readLogs(c.Args.Words)
+		if err != nil {
+			return err
+		}
+		return explain.QuarantineOf(lines).Write(os.Stdout)
+	}
 	if len(c.Args.Words) < 2 {
 		return errNoLog
 	}
--- a/cmd/mallowgap/main.go
+++ b/cmd/mallowgap/main.go
@@ -26,6 +26,7 @@
 		{"entry", "Run an entry host", "Run the daemon of an entry host with the given settings file.", &entryCommand{}},
 		{"gateway", "Run a gateway", "Run a gateway, which serves callers over HTTP by the routes of the platform's configuration.", &gatewayCommand{}},
 		{"explain", "Explain a request", "Print what the logs of several hosts tell of one request.", &explainCommand{}},
+		{"quarantine", "List and clear requests in quarantine", "List the requests under which servers ended, as the platform's store has them, or clear one.", &quarantineCommand{}},
 		{"operator", "Operate the configuration", "Get, apply and check the configuration through an entry host.", &operatorCommand{}},
 		{"query", "Send one request", "Send one request of a desk and print the reply as JSON.", &queryCommand{}},
 		{"load", "Run a load scenario", "Run an open-loop load scenario and print a table a class.", &loadCommand{}},
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -15,14 +15,15 @@
 	"github.com/mallowgap/mallowgap/internal/pause"
 )
 
+// MaxWrites is the number of entries that the store takes in one call.
+const MaxWrites = 32
+
 const (
 	// announceTick is how often a host looks whether entries it keeps are still there.
 	announceTick = 500 * time.Millisecond
 	// announceGap is the least time between two writes, so that followers that come
 	// close together share one.
 	announceGap = 100 * time.Millisecond
-	// maxWrites is the number of entries that the store takes in one call.
-	maxWrites = 32
 	// announceSpread is for how long a host of strength 1 waits, half of it to all of it
 	// at random, before it announces itself where it knows no host to follow; a weaker
 	// one waits longer by its strength, and then finds one that keeps its entry.
@@ -350,13 +351,13 @@
 func (a *announcer) writeOnce(ctx context.Context, p *writes) error {
 	puts := map[string][]byte{}
 	for name, value := range p.puts {
-		if len(puts) == maxWrites {
+		if len(puts) == MaxWrites {
 			break
 		}
 		puts[name] = value
 		delete(p.puts, name)
 	}
-	remove := p.remove[:min(len(p.remove), maxWrites-len(puts))]
+	remove := p.remove[:min(len(p.remove), MaxWrites-len(puts))]
 	p.remove = p.remove[len(remove):]
 	revision, err := a.store.Write(ctx, relaypb.EntryKind_HOST, a.lease, puts, remove)
 	if errors.Is(err, ErrLeaseEnded) {
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -105,14 +105,14 @@
 	defer r.mu.Unlock()
 	puts = map[string][]byte{}
 	for name, value := range r.puts {
-		if len(puts) == maxWrites {
+		if len(puts) == MaxWrites {
 			break
 		}
 		puts[name] = value
 		delete(r.puts, name)
 	}
 	for name := range r.removes {
-		if len(puts)+len(remove) == maxWrites {
+		if len(puts)+len(remove) == MaxWrites {
 			break
 		}
 		remove = append(remove, name)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -85,12 +85,31 @@
 	if len(own) == 0 {
 		return Story{Gaps: []string{"no line names the request: it did not reach these hosts, or its line was dropped (mallowgap_log_lines_sampled_total, mallowgap_log_lines_dropped_total)"}}
 	}
-	s := Story{Lines: append(own, beliefs(lines, own)...)}
+	s := Story{Lines: slices.Concat(own, beliefs(lines, own), sameContent(lines, own))}
 	slices.SortStableFunc(s.Lines, func(a, b Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
 	s.Gaps = append(gaps(own), leftOut(s.Lines)...)
 	return s
 }
 
+// sameContent returns the lines about servers that ended under other attempts of the same
+// request, and what the hosts made of it.
+func sameContent(lines, own []Line) []Line {
+	var prints []string
+	for _, l := range own {
+		if p := l.field("fingerprint"); p != "" && !slices.Contains(prints, p) {
+			prints = append(prints, p)
+		}
+	}
+	var found []Line
+	for _, l := range lines {
+		about := strings.HasPrefix(l.Message, endedMessage) || l.Message == standingMessage
+		if about && l.Request != own[0].Request && slices.Contains(prints, l.field("fingerprint")) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
 // beliefs returns the lines that change what a host believed of a server or
 // peer that the request's lines name, and those of its store.
 func beliefs(lines, own []Line) []Line {
@@ -107,7 +126,7 @@
 	}
 	var found []Line
 	for _, l := range lines {
-		if l.Request != "" || !hosts[l.Host] || l.Time.Before(from.Add(-before)) || l.Time.After(to) {
+		if l.Request != "" || l.Message == standingMessage || !hosts[l.Host] || l.Time.Before(from.Add(-before)) || l.Time.After(to) {
 			continue
 		}
 		if concerns(l, own) {
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -147,29 +148,39 @@
 
 // learn takes in an entry of the store.
 func (g *guard) learn(e control.Entry, now time.Time) {
-	name, err := quarantine.ParseName(e.Name)
-	if err != nil {
-		g.log.Warn().Err(err).Msg("entry about a request in quarantine is left out: its name cannot be read")
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	name, err := quarantine.ParseName(e.Name)
 	before := g.book.Standing(name.Fingerprint)
-	defer func() { g.changed(name.Fingerprint, before, name.Host) }()
-	if e.Removed {
-		g.book.Forget(name)
-		return
+	if err == nil {
+		err = LearnRecord(g.book, e, now)
 	}
-	if name.Claim != "" {
-		g.book.LearnClaim(name, now)
+	if err != nil {
+		g.log.Warn().Err(err).Str("entry", e.Name).Msg("entry about a request in quarantine cannot be read; it is left out")
 		return
 	}
-	var record relaypb.QuarantineRecord
-	if err := proto.Unmarshal(e.Value, &record); err != nil {
-		g.log.Error().Err(err).Str("entry", e.Name).Msg("record of a request in quarantine cannot be decoded; it is left out")
-		return
+	g.changed(name.Fingerprint, before, name.Host)
+}
+
+// LearnRecord takes an entry of the store into a book.
+func LearnRecord(book *quarantine.Book, e control.Entry, now time.Time) error {
+	name, err := quarantine.ParseName(e.Name)
+	if err != nil {
+		return err
+	}
+	switch {
+	case e.Removed:
+		book.Forget(name)
+	case name.Claim != "":
+		book.LearnClaim(name, now)
+	default:
+		var record relaypb.QuarantineRecord
+		if err := proto.Unmarshal(e.Value, &record); err != nil {
+			return fmt.Errorf("decode the record %s: %w", e.Name, err)
+		}
+		book.Learn(name.Fingerprint, name.Host, decodeRecord(&record), now)
 	}
-	g.book.Learn(name.Fingerprint, name.Host, decodeRecord(&record), now)
+	return nil
 }
 
 // sweep forgets what is over. Only a host that reads the store itself removes it there.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -48,8 +48,10 @@
 	// missing names the shards that are not in the answer, with the servers
 	// that were sent the request.
 	missing []string
-	notes   []string
-	dropped int
+	// fingerprint is that of a request under which servers ended; empty for any other.
+	fingerprint string
+	notes       []string
+	dropped     int
 }
 
 func (t *trace) note(format string, args ...any) {
@@ -104,6 +106,9 @@
 	if t.wait > 0 {
 		e = e.Dur("expected_wait", t.wait).Float64("chance", t.chance)
 	}
+	if t.fingerprint != "" {
+		e = e.Str("fingerprint", t.fingerprint)
+	}
 	if t.limit > 0 {
 		e = e.Dur("limit", t.limit)
 	}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -93,6 +93,7 @@
 	case quarantine.Clear:
 		return Answer{}, true
 	case quarantine.Suspect:
+		q.trace.fingerprint = f.String()
 		s.suspected = true
 		return Answer{}, true
 	}
@@ -109,6 +110,7 @@
 func (q *query) barredAnswer() Answer {
 	quarantineRefused.Inc()
 	known := q.gateway.guard.summary(q.fingerprint())
+	q.trace.fingerprint = known.Fingerprint.String()
 	reason := fmt.Sprintf("%d servers ended under this request, fingerprint %v, told by %v: clear it by hand when the servers are mended",
 		known.Ended, known.Fingerprint, known.Hosts)
 	if q.offered() {
@@ -158,6 +160,7 @@
 // serverEnded notes that a server ended with the query.
 func (q *query) serverEnded(r result, now time.Time) {
 	s := &q.suspicion
+	q.trace.fingerprint = q.fingerprint().String()
 	trial := slices.Contains(s.onTrial, r.server)
 	b := q.gateway.fleet.server(r.server)
 	if b == nil {
