A fault of the program ends the work that meets it, not the host

Looked for everywhere that something is repeated by a caller, a peer or the store; these are the places. Callers' own handlers were contained by net/http.

Change: calls of servers, replies and requests of peers and single entries of the store end with an error, a line with the stack and a counter. A slot is given back once, whoever does it.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
@@ -84,6 +85,9 @@
 	started chan struct{}
 }
 
+// entriesLeftOut counts entries that met a fault of the program.
+var entriesLeftOut = metrics.GetOrCreateCounter("mallowgap_entries_left_out_total")
+
 type entryKey struct {
 	kind relaypb.EntryKind
 	name string
@@ -208,10 +212,23 @@
 		} else {
 			s.entries[key] = e
 		}
-		s.applyEntry(e, now)
+		s.applyContained(e, now)
 	}
 }
 
+// applyContained takes an entry in, or leaves it out where that meets a fault of the program:
+// every host reads the same entries, and again after it has ended with one.
+func (s *state) applyContained(e Entry, now time.Time) {
+	defer func() {
+		if value := recover(); value != nil {
+			entriesLeftOut.Inc()
+			s.log.Error().Stringer("kind", e.Kind).Str("name", e.Name).Uint64("revision", e.Revision).Interface("fault", value).
+				Msg("fault of the program: the entry is left out, what is known stays in force")
+		}
+	}()
+	s.applyEntry(e, now)
+}
+
 func (s *state) keepRemoval(e Entry) {
 	s.removals = append(s.removals, e)
 	if over := len(s.removals) - maxRemovals; over > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,13 +122,17 @@
 }
 
 // State implements the relay protocol.
-func (g *Gateway) State(ctx context.Context, m *relaypb.StateRequest) (*relaypb.StateReply, error) {
-	return g.control.State(ctx, m)
+func (g *Gateway) State(ctx context.Context, m *relaypb.StateRequest) (reply *relaypb.StateReply, err error) {
+	err = g.contain("a question of a peer", "", func() error {
+		reply, err = g.control.State(ctx, m)
+		return err
+	})
+	return reply, err
 }
 
 // Follow implements the relay protocol.
 func (g *Gateway) Follow(m *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
-	return g.control.Follow(m, stream)
+	return g.contain("a peer that follows", "", func() error { return g.control.Follow(m, stream) })
 }
 
 // regions reads DOMAIN=REGION, comma-separated.
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -22,6 +22,8 @@
 	// cold tells that the server is cold and this host does not call it then: another host
 	// is to be asked.
 	cold bool
+	// released tells that the slot was given back.
+	released bool
 }
 
 // pickOptions says what kind of slot a request wants.
@@ -203,7 +205,7 @@
 	if e.result == callMoved {
 		leaf.Leaving = true
 	}
-	leaf.Slots.Release()
+	c.release()
 	i := g.index(leaf)
 	if i == replica.None {
 		return 0, false
@@ -231,7 +233,15 @@
 func (c *call) drop() {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
-	c.backend.leaf.Slots.Release()
+	c.release()
+}
+
+// release gives the slot back, once. Callers hold the lock of the group.
+func (c *call) release() {
+	if !c.released {
+		c.released = true
+		c.backend.leaf.Slots.Release()
+	}
 }
 
 // index returns the place of a server among the members, or None where it is no
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,6 +37,10 @@
 // Gather implements the relay protocol: it calls the servers named and merges
 // their parts. It chooses nothing and repeats nothing.
 func (g *Gateway) Gather(m *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
+	return g.contain("a request of a peer", m.GetRequestId(), func() error { return g.gather(m, stream) })
+}
+
+func (g *Gateway) gather(m *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	ctx, cancel := context.WithCancel(stream.Context())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -31,7 +31,19 @@
 }
 
 // callServer calls a server on which a slot was taken, and gives the slot back.
-func (g *Gateway) callServer(ctx context.Context, c *call, r *Request, timeout time.Duration, fresh bool) result {
+func (g *Gateway) callServer(ctx context.Context, c *call, r *Request, timeout time.Duration, fresh bool) (out result) {
+	err := g.contain("the call of a server", r.ID, func() error {
+		out = g.callOnce(ctx, c, r, timeout, fresh)
+		return nil
+	})
+	if err != nil {
+		c.drop()
+		return result{server: c.backend.ID, outcome: relaypb.Outcome_FAILED, reason: err.Error(), elapsed: time.Since(c.started)}
+	}
+	return out
+}
+
+func (g *Gateway) callOnce(ctx context.Context, c *call, r *Request, timeout time.Duration, fresh bool) result {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := g.edges.Leafs.Call(callCtx, c.backend.Server, r, timeout, fresh)
@@ -201,10 +213,12 @@
 	rc.done = make([]bool, len(rc.attempts))
 	g.peers.Started(relay.Address)
 	silence := time.AfterFunc(rc.silenceTimeout(request), func() { g.control.Suspect(relay.Address, time.Now()) })
-	err := g.edges.Peers.Gather(ctx, relay.Address, request, func(reply *relaypb.GatherReply) {
-		silence.Stop()
-		g.peers.Answered(relay.Address)
-		rc.take(reply)
+	err := g.contain("the reply of a relay", request.GetRequestId(), func() error {
+		return g.edges.Peers.Gather(ctx, relay.Address, request, func(reply *relaypb.GatherReply) {
+			silence.Stop()
+			g.peers.Answered(relay.Address)
+			rc.take(reply)
+		})
 	})
 	silence.Stop()
 	now := time.Now()
