--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/api/settingspb"
+	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/internal/control/fakestore"
+	"github.com/mallowgap/mallowgap/quarantine"
 )
 
 // poisonWorld runs a test in a world in which a request has just been barred: servers of two
@@ -179,3 +184,70 @@
 		assert.Equal(w.t, w.ask("host3", "/q/poison").Outcome, Gathered)
 	})
 }
+
+// A relay that knows better turns a barred request away, and the host that asked it learns so.
+func TestRelayTurnsBarredRequestsAway(t *testing.T) {
+	inWorld(t, shardedConfig(1, 2), serversOf(shardNames(2), "b1"), threeRegions[:2], func(w *world) {
+		f := fingerprint(w.newRequest("/q/poison"))
+		relay := w.hosts["host2"].guard
+		relay.keeper = nobody{}
+		relay.note(f, quarantine.Record{Servers: []string{"a", "b", "c"}, Ended: 3, Trial: true}, time.Now())
+		a := w.ask("host1", "/q/poison")
+		assert.Equal(w.t, a.Outcome, NotRun, "%+v", a)
+		assert.Equal(w.t, a.Code, CodeBarred)
+		assert.Equal(w.t, w.leafs.arrivals("shard"), 0)
+		assert.Equal(w.t, w.ask("host1", "/q/other").Outcome, Gathered)
+	})
+}
+
+// nobody keeps no record.
+type nobody struct{}
+
+func (nobody) PutRecord(string, []byte) {}
+func (nobody) RemoveRecords([]string)   {}
+
+// Calls that are under way when a host learns that their request is barred end at once.
+func TestCallsUnderWayEndWithTheNews(t *testing.T) {
+	inWorld(t, shardedConfig(1, 2), serversOf(shardNames(2), "a1"), oneHost, func(w *world) {
+		stopped := 0
+		for _, shard := range shardNames(2) {
+			w.leafs.set(shard, func(ctx context.Context, _ *Request) (*Reply, error) {
+				<-ctx.Done()
+				stopped++
+				return nil, ctx.Err()
+			})
+		}
+		answers := make(chan Answer, 1)
+		go func() { answers <- w.ask("host1", "/q/poison") }()
+		time.Sleep(50 * time.Millisecond)
+		began := time.Now()
+		f := fingerprint(w.newRequest("/q/poison"))
+		value, err := proto.Marshal(&relaypb.QuarantineRecord{Servers: []string{"a", "b", "c"}, Ended: 3, Trial: true})
+		assert.NilError(w.t, err)
+		w.store.Apply(control.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: quarantine.RecordName(f, "host7"), Value: value})
+		a := <-answers
+		assert.Equal(w.t, a.Outcome, Failed, "servers have it: %+v", a)
+		synctest.Wait()
+		assert.Equal(w.t, stopped, 2)
+		assert.Assert(w.t, time.Since(began) < 300*time.Millisecond, "%v", time.Since(began))
+	})
+}
+
+// An operator clears a request by removing what the store has on it; entries that cannot be
+// read are left out.
+func TestClearedByHand(t *testing.T) {
+	poisonWorld(t, "/q/poison", func(w *world, m *mortals) {
+		w.store.Apply(control.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: "odd", Value: []byte{1}})
+		w.store.Apply(control.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: quarantine.RecordName(quarantine.Fingerprint{}, "h"), Value: []byte{0xff}})
+		w.refused("host2", "/q/poison")
+		time.Sleep(4 * time.Second)
+		m.mend()
+		for _, name := range w.store.Names(relaypb.EntryKind_QUARANTINE) {
+			w.store.Apply(control.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: name, Removed: true})
+		}
+		time.Sleep(time.Second)
+		for _, host := range mortalNames {
+			assert.Equal(w.t, w.ask(host, "/q/poison").Outcome, Gathered)
+		}
+	})
+}
