A mutant names its constant again

Cause: refusals cost a number of calls since a while, the line of the list named the time before. Measured: caught.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -58,7 +58,7 @@
 TestWindowHoldsOverAnySpan@retry/window.go@s/> permitted \|\| .*permitted \{/> 2*permitted {/@the window permits too much
 TestOneSilentServerOfARelayCostsOneHedge@internal/gateway/query.go@s/softCap = 0.2/softCap = 0.9/@a relay holds its parts back
 TestRequestThatReachesNobodyIsRefusedSoon@internal/gateway/query.go@s/return q.arrived \|\| q.running\(\)/return true/@a send that reached nobody counts as an offer
-TestRefusingReplicaIsChosenLess@replica/set.go@s/refusalCost = 150/refusalCost = 0/@refusals cost nothing
+TestRefusingReplicaIsChosenLess@replica/set.go@s/lossCalls = 6/lossCalls = 0/@refusals cost nothing
 TestLateExtraAnswerBelongsToNobody@internal/httppool/pool.go@s/!r.Mine\(head\)/false/@a late answer to another request is taken
 TestBrokenAnswersAreErrors@internal/httppool/pool.go@s/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/@a truncated answer is taken
 TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go@s/ && c.reader.Buffered\(\) == 0//; s/ && quiet\(c.Conn\)//@a connection with bytes of nobody is used again
