The entries of servers are later witnesses that they ended with a request

Cause: a server that a supervisor starts again at once accepts the next connection, so that its end looked like a connection that broke, and every repeat ended servers as before.

Ruled out: counting broken connections themselves - resets, lost and spoilt answers and cuts look the same.

A trial that breaks off three times ends the query.

--- a/internal/gateway/deaths_test.go
+++ b/internal/gateway/deaths_test.go
@@ -35,6 +35,8 @@
 	// time the store notices.
 	mortalDown  = 3 * time.Second
 	mortalLapse = 1200 * time.Millisecond
+	// startTime is after what time a server that starts is in the store.
+	startTime = 300 * time.Millisecond
 	// newsTime is the time within which the hosts must know what one of them has learned.
 	newsTime = 4 * time.Second
 )
@@ -54,6 +56,8 @@
 	mended bool
 	// work is how long a server runs a request.
 	work func(discovery.Server) time.Duration
+	// down is for how long one is away that a request ended.
+	down time.Duration
 }
 
 func (m *mortals) mend() {
@@ -63,7 +67,7 @@
 }
 
 func newMortals(w *world, servers []discovery.Server) *mortals {
-	m := &mortals{w: w, work: func(discovery.Server) time.Duration { return leafTime }, died: map[string]chan struct{}{}, away: map[string]bool{}}
+	m := &mortals{w: w, down: mortalDown, work: func(discovery.Server) time.Duration { return leafTime }, died: map[string]chan struct{}{}, away: map[string]bool{}}
 	for _, s := range servers {
 		m.died[s.ID] = make(chan struct{})
 		w.leafs.set(s.ID, func(ctx context.Context, r *Request) (*Reply, error) { return m.serve(ctx, s, r) })
@@ -93,7 +97,7 @@
 		return nil, ctx.Err()
 	}
 	if poison {
-		m.end(s, r.ID, mortalDown)
+		m.end(s, r.ID, m.down)
 		return nil, errBrokenOff
 	}
 	return serve(s.ID, 0)(ctx, r)
@@ -108,19 +112,28 @@
 	}
 	m.away[s.ID] = true
 	m.deaths = append(m.deaths, arrival{time.Now(), request})
-	m.w.leafs.setEnded(s.ID, true)
 	close(m.died[s.ID])
+	if down == 0 {
+		m.startAgain(s)
+		return
+	}
+	m.w.leafs.setEnded(s.ID, true)
 	time.AfterFunc(min(mortalLapse, down), func() { m.w.store.RemoveServer(s.ID) })
 	time.AfterFunc(down, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.died[s.ID], m.away[s.ID] = make(chan struct{}), false
 		m.w.leafs.setEnded(s.ID, false)
-		s.Born = time.Now().UnixMilli()
-		m.w.store.PutServer(s)
+		m.startAgain(s)
 	})
 }
 
+// startAgain starts a server that ended; its entry tells a moment later. Callers hold the lock.
+func (m *mortals) startAgain(s discovery.Server) {
+	m.died[s.ID], m.away[s.ID] = make(chan struct{}), false
+	s.Born = time.Now().UnixMilli()
+	time.AfterFunc(startTime, func() { m.w.store.PutServer(s) })
+}
+
 // arrivedLate returns the number of requests with poison that reached servers more than the
 // time of the news after the third death.
 func (m *mortals) arrivedLate() int {
@@ -222,6 +235,24 @@
 	})
 }
 
+// A supervisor starts servers again at once, so that they accept the next connection: only
+// their entries tell that they ended. The first attempts end every server that they reach; then
+// the request is known all the same.
+func TestServersThatAreBackAtOnceAreKnownToHaveEnded(t *testing.T) {
+	servers := serversOf(shardNames(12), "a1", "b1", "c1")
+	for i := range servers {
+		servers[i].Born = 1
+	}
+	inWorld(t, shardedConfig(1, 12), servers, mortalHosts, func(w *world) {
+		m := newMortals(w, servers)
+		m.down = 0
+		good, all := w.mixed(mortalNames, "/q/poison", 2.5, 10, 24*time.Second)
+		w.t.Logf("%d servers ended, %d of %d ordinary requests served, %d repeats came late", m.count(), good, all, m.arrivedLate())
+		assert.Check(w.t, m.arrivedLate() <= 3)
+		assert.Check(w.t, m.count() <= 150, "%d servers ended", m.count())
+	})
+}
+
 // An engineer on call sees which request a server ended with, known by its content: the other
 // lines of such an outage leave no room for it. A broken connection alone is no end.
 func TestLogTellsWithWhichRequestAServerEnded(t *testing.T) {
@@ -279,6 +310,9 @@
 func TestServersThatEndByThemselvesBarNobody(t *testing.T) {
 	const length = 20 * time.Second
 	servers := slices.Concat(serversOf(shardNames(12), "a1", "b1", "c1"), serversOf([]string{"single"}, "a1", "b1", "c1"))
+	for i := range servers {
+		servers[i].Born = 1
+	}
 	rng := rand.New(rand.NewPCG(32, 1))
 	faults := map[string]func(m *mortals){
 		"calm": func(*mortals) {},
@@ -310,6 +344,24 @@
 				time.Sleep(500 * time.Millisecond)
 			}
 		},
+		"all servers end and are back at once, each 2 s": func(m *mortals) {
+			for range 10 {
+				for _, s := range servers {
+					m.end(s, "", 0)
+				}
+				time.Sleep(2 * time.Second)
+			}
+		},
+		"a fifth of the servers end again and again and are back at once": func(m *mortals) {
+			for range 40 {
+				for _, s := range servers {
+					if rng.IntN(5) == 0 {
+						time.AfterFunc(time.Duration(rng.IntN(500))*time.Millisecond, func() { m.end(s, "", 0) })
+					}
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		},
 		"a request that ends servers comes too": func(m *mortals) {
 			for range 50 {
 				go m.w.ask("host1", "/q/poison")
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -176,9 +176,10 @@
 	return all
 }
 
-// update takes the servers now registered, and returns those that are later processes than
-// the ones known before under their identifiers. shares gives this host's part of a server.
-func (f *fleet) update(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) (restarted []discovery.Server) {
+// update takes the servers now registered. It returns those that are later processes than
+// the ones known before under their identifiers, and those processes that ended without
+// having drained. shares gives this host's part of a server.
+func (f *fleet) update(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) (restarted, ended []discovery.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	previous := f.byID
@@ -191,6 +192,9 @@
 			old.retire(f.groupLocked(old.Service))
 			old = nil
 			restarted = append(restarted, s)
+			if s.Replaces(previous[s.ID].Server) {
+				ended = append(ended, previous[s.ID].Server)
+			}
 		}
 		b := adopt(old, s, f.location, shares(s), now)
 		f.byID[s.ID] = b
@@ -204,6 +208,9 @@
 	for id, b := range previous {
 		if f.byID[id] == nil {
 			b.retire(f.groupLocked(b.Service))
+			if !b.Draining {
+				ended = append(ended, b.Server)
+			}
 		}
 	}
 	for service := range members {
@@ -212,9 +219,12 @@
 	for service, g := range f.groups {
 		g.replace(members[service], evacuated[service])
 	}
-	return restarted
+	return restarted, ended
 }
 
+// processName names the process of a server.
+func processName(s discovery.Server) string { return fmt.Sprintf("%s#%d", s.ID, s.Born) }
+
 // startsAnew reports whether what was observed of a server before says nothing about it now:
 // it is a later process, or its failure domain was evacuated in between.
 func startsAnew(s, before discovery.Server) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/mallowgap/mallowgap/internal/guard"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/limit"
+	"github.com/mallowgap/mallowgap/quarantine"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -45,7 +46,10 @@
 	peers    *control.PeerHealth
 	reports  *reports
 	guard    *guard.Guard
-	sleep    *sleep
+	// witnesses wait for what becomes of servers at which calls broke off.
+	witnessMu sync.Mutex
+	witnesses *quarantine.Witnesses
+	sleep     *sleep
 	// patience tells by route for how long callers wait.
 	patienceMu sync.Mutex
 	patience   map[string]*admission.Patience
@@ -71,8 +75,10 @@
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		reports:  newReports(f),
 		sleep:    newSleep(),
-		patience: map[string]*admission.Patience{},
-		started:  time.Now(),
+
+		witnesses: quarantine.NewWitnesses(),
+		patience:  map[string]*admission.Patience{},
+		started:   time.Now(),
 	}
 	g.guard = guard.New(h.GetName(), keeper{g}, log)
 	g.control = control.New(control.Config{
@@ -100,7 +106,9 @@
 
 // ServersChanged implements control.Listener.
 func (l listener) ServersChanged(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) {
-	for _, restarted := range l.gateway.fleet.update(servers, shares, now) {
+	restarted, ended := l.gateway.fleet.update(servers, shares, now)
+	l.gateway.witness(ended, now)
+	for _, restarted := range restarted {
 		l.gateway.requests.servers.Info().Str("server", restarted.ID).Str("service", restarted.Service).Int64("born", restarted.Born).Msg("server starts anew: what was observed of it is forgotten")
 		go l.gateway.edges.Leafs.Forget(restarted)
 	}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -126,9 +126,10 @@
 	// without its wait; 0 is unknown.
 	load Load
 	ran  time.Duration
-	// ended tells of a call that failed that the server ended with it, barred of one that was
+	// ended tells of a call that failed that the server ended with it, brokeOff that only its
+	// connection is known to have ended; barred of one that was
 	// not sent that the relay knows that servers end under the request.
-	ended, barred bool
+	ended, brokeOff, barred bool
 }
 
 // run makes attempts until the request is answered or its time is up.
@@ -143,6 +144,9 @@
 		if q.trial.barred {
 			return q.barredAnswer()
 		}
+		if q.trialFailed() {
+			return Answer{Outcome: Failed, Code: CodeServerFailed, Reason: "servers broke off when they were sent the request alone, after others had ended under it"}
+		}
 		if q.state.Finished(now) || q.onlyLeftOut() {
 			return q.answer(now)
 		}
@@ -306,8 +310,11 @@
 	q.failure = r.reason
 	q.code = CodeServerFailed
 	q.mayHaveRun = true
-	if r.ended {
+	switch {
+	case r.ended:
 		q.serverEnded(r, time.Now())
+	case r.brokeOff:
+		q.brokeOff(r)
 	}
 	q.state.Ended(r.shard)
 	if r.reply != nil {
@@ -380,6 +387,7 @@
 // finish notes for the log what the answer depended on.
 func (q *query) finish(a Answer) Answer {
 	q.tellEnds(time.Now())
+	q.awaitWitnesses(time.Now())
 	q.trace.limit = q.end.Sub(q.request.Arrived)
 	if q.entry.Query == nil {
 		q.trace.servers = q.tried[0]
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -173,7 +173,7 @@
 	result := &relaypb.CallResult{
 		Index: uint32(one.index), Outcome: r.outcome, Signature: r.signature,
 		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
-		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, ServerEnded: r.ended, Barred: r.barred, WaitUs: uint64(r.wait.Microseconds()),
+		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, ServerEnded: r.ended, BrokeOff: r.brokeOff, Barred: r.barred, WaitUs: uint64(r.wait.Microseconds()),
 	}
 	if w.whole && r.reply != nil {
 		result.Reply = encodeReply(r.reply)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -56,6 +57,7 @@
 		// A connection that breaks is no death: it may be an idle one that the server forgot,
 		// a lost answer or a cut. A server that has ended refuses the next connection.
 		out.ended = g.edges.Leafs.Ended(ctx, c.backend.Server)
+		out.brokeOff = !out.ended && !timedOut(err)
 	}
 	ran, ejected := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load}, now)
 	out.ran = ran
@@ -94,6 +96,13 @@
 	return elapsed
 }
 
+// timedOut reports whether an error is that nothing was heard for too long, as of a server
+// without power or behind a cut.
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // errUnsigned says that a success lacks the proof that the server ran the
 // request.
 var errUnsigned = errors.New("the server's success has no signature")
@@ -267,7 +276,7 @@
 	out := result{
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
-		ended: r.GetServerEnded(), barred: r.GetBarred(),
+		ended: r.GetServerEnded(), brokeOff: r.GetBrokeOff(), barred: r.GetBarred(),
 		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
 	}
 	if reply := r.GetReply(); reply != nil {
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/quarantine"
 )
 
@@ -15,6 +16,9 @@
 	// trialStep is how often attempts that wait for a trial are looked at again where nothing
 	// happens before.
 	trialStep = 20 * time.Millisecond
+	// mostTrials is the number of trials of one query that may fail without it being known that
+	// the server ended: a lost answer is no reason to give up, three in a row on trial are.
+	mostTrials = 3
 	// barredRetryAfter is when a caller whose request is barred may come back: before the
 	// first probation is over nothing changes but by hand.
 	barredRetryAfter = quarantine.FirstProbation
@@ -36,6 +40,10 @@
 	// shard is the one on trial, or -1; servers are those that the query was tried on.
 	shard   int
 	servers []string
+	// broken are calls that broke off without it being known that their servers ended; failed
+	// is the number of those on trial.
+	broken []quarantine.End
+	failed int
 	// held are the shards whose attempts wait for the trial.
 	held []int
 }
@@ -125,10 +133,7 @@
 // serverEnded notes that a server ended with the query.
 func (q *query) serverEnded(r result, now time.Time) {
 	q.trace.fingerprint = q.fingerprint().String()
-	end := quarantine.End{Server: r.server, OnTrial: slices.Contains(q.trial.servers, r.server)}
-	if b := q.gateway.fleet.server(r.server); b != nil {
-		end.Server, end.Version = fmt.Sprintf("%s#%d", b.ID, b.Born), b.Version
-	}
+	end := q.endOf(r)
 	q.gateway.guard.LogEnd(q.fingerprint(), q.request.ID, r.server, q.groups[r.shard].service, r.elapsed, r.reason, end)
 	stop, told := q.trial.Ended(end, now)
 	if stop {
@@ -139,6 +144,59 @@
 	}
 }
 
+// endOf returns what the end of a server under the query is.
+func (q *query) endOf(r result) quarantine.End {
+	end := quarantine.End{Server: r.server, OnTrial: slices.Contains(q.trial.servers, r.server)}
+	if b := q.gateway.fleet.server(r.server); b != nil {
+		end.Server, end.Version = processName(b.Server), b.Version
+	}
+	return end
+}
+
+// brokeOff notes that a call broke off at a server of which it is not known that it ended.
+func (q *query) brokeOff(r result) {
+	end := q.endOf(r)
+	if len(q.trial.broken) < quarantine.MaxNamed || end.OnTrial {
+		q.trial.broken = append(q.trial.broken, end)
+	}
+	if end.OnTrial {
+		q.trial.failed++
+	}
+}
+
+// trialFailed reports whether the query was on trial often enough without being served. Its
+// servers may have ended, as their entries will tell.
+func (q *query) trialFailed() bool { return q.trial.failed >= mostTrials && q.trial.OnTrial() }
+
+// awaitWitnesses keeps the calls that broke off until their servers' entries tell what became
+// of them, where nobody served the query.
+func (q *query) awaitWitnesses(now time.Time) {
+	if len(q.trial.broken) == 0 || q.trial.WasServed() {
+		return
+	}
+	g := q.gateway
+	g.witnessMu.Lock()
+	defer g.witnessMu.Unlock()
+	for _, end := range q.trial.broken {
+		g.witnesses.Broke(quarantine.BrokenCall{Fingerprint: q.fingerprint(), End: end, What: describe(q.request, q.entry.Name), At: now})
+	}
+}
+
+// witness takes in that servers ended without having drained: the calls that broke off there
+// not long before ended with them.
+func (g *Gateway) witness(ended []discovery.Server, now time.Time) {
+	g.witnessMu.Lock()
+	defer g.witnessMu.Unlock()
+	for _, s := range ended {
+		for _, c := range g.witnesses.Ended(processName(s), now) {
+			g.guard.LogEnd(c.Fingerprint, "", s.ID, s.Service, now.Sub(c.At), "a call broke off, and its entry tells that it ended", c.End)
+			g.guard.Note(c.Fingerprint, quarantine.Record{
+				Servers: []string{c.End.Server}, Ended: 1, Trial: c.End.OnTrial, Versions: []string{s.Version}, What: c.What, At: c.At.UnixMilli(),
+			}, now)
+		}
+	}
+}
+
 // tellEnds tells all hosts of the servers that ended under a query that none served since.
 func (q *query) tellEnds(now time.Time) {
 	seen, any := q.trial.Tell()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -211,3 +211,23 @@
 		}
 	})
 }
+
+// A broken call counts where its server's entry tells soon after that it ended, once.
+func TestWitnesses(t *testing.T) {
+	w := NewWitnesses()
+	broke := func(server string, at time.Time) {
+		w.Broke(BrokenCall{Fingerprint: Of(Content{Target: "/x"}), End: End{Server: server}, At: at})
+	}
+	broke("a#1", day)
+	broke("b#1", day)
+	assert.Equal(t, len(w.Ended("c#1", day)), 0)
+	assert.Equal(t, len(w.Ended("a#1", day.Add(witnessLife-1))), 1)
+	assert.Equal(t, len(w.Ended("a#1", day.Add(witnessLife-1))), 0)
+	assert.Equal(t, len(w.Ended("b#1", day.Add(witnessLife))), 0, "too late")
+	for i := range 2 * maxBroken {
+		broke(fmt.Sprint(i), day)
+	}
+	assert.Equal(t, w.count, maxBroken)
+	broke("last", day.Add(witnessLife))
+	assert.Equal(t, w.count, 1, "those that are over make room")
+}
