The entry daemon keeps queries from leaves that end under them, too

Found by looking for the cause elsewhere.

Ruled out: telling the other hosts - the home of a service sees all of its queries, and a host that becomes the home finds out anew.

Change: a home holds a query back while more leaves ended under it than served it, on the same decision as the gateway (quarantine.Suspicion, Book); it asks a leaf at which a call broke off whether it is still the process that it was. A barred query is not run, with reason BARRED and when to come back.

--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mallowgap/mallowgap/api/leafpb"
+	"github.com/mallowgap/mallowgap/internal/leaf"
 	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/replica"
 )
@@ -22,6 +23,8 @@
 	outlives bool
 	// generation is the number of restarts of the query before the attempt.
 	generation int
+	// onTrial tells that the leaf is sent the query alone, after others had ended.
+	onTrial bool
 }
 
 // event tells a query what became of an attempt.
@@ -29,6 +32,8 @@
 	attempt *attempt
 	reply   *leafpb.ExecuteReply
 	err     error
+	// ended tells that the leaf ended with the attempt.
+	ended bool
 }
 
 // dispatchAll sends whatever waits and has a slot, on all shards of all plans.
@@ -70,7 +75,7 @@
 // probe sends a copy of a repeatable request to a replica that is avoided, to
 // learn whether it has recovered. The query does not wait for it.
 func (s *Service) probe(q *query, shard, chosen int, now time.Time) {
-	if q.once {
+	if q.once || q.trial.OnTrial() {
 		return
 	}
 	set := q.plan.shards[shard].set
@@ -101,6 +106,7 @@
 		cancel:     cancel,
 		outlives:   kind == obs.Probe,
 		generation: q.restarts,
+		onTrial:    q.trial.shard == shard,
 	}
 	q.began(a)
 	obs.CountAttempt(kind)
@@ -115,12 +121,13 @@
 		err = errWrongAttempt
 	}
 	cut := ctx.Err() != nil && err != nil
+	ended := err != nil && !cut && !leaf.NotSent(err) && s.hasEnded(ctx, a.address)
 	s.mu.Lock()
 	report := s.ended(q.plan, a, reply, err, cut)
 	s.mu.Unlock()
 	report()
 	select {
-	case q.events <- event{attempt: a, reply: reply, err: err}:
+	case q.events <- event{attempt: a, reply: reply, err: err, ended: ended}:
 	case <-q.gone:
 	}
 }
@@ -165,6 +172,9 @@
 // Without a free slot the attempt waits for one by its class. hedge reports
 // whether it is worth looking again soon.
 func (s *Service) hedge(q *query, shard int, now time.Time) bool {
+	if q.trial.OnTrial() && q.trial.shard != shard {
+		return true
+	}
 	sh := q.plan.shards[shard]
 	exclude := q.exclude(shard) | q.runningMask(shard) | sh.set.AvoidedMask(now)
 	if q.gather.Running(shard) != 1 || !sh.set.Reachable(exclude) {
--- a/internal/home/query.go
+++ b/internal/home/query.go
@@ -58,6 +58,8 @@
 	// reached is the number of attempts that may have been executed.
 	reached int
 	done    bool
+	// trial is what the query does about leaves that end under it.
+	trial trial
 }
 
 // newQuery pins an admitted request to the plan in force.
@@ -72,6 +74,7 @@
 		start:    time.Now(),
 		gone:     make(chan struct{}),
 		nudge:    make(chan struct{}, 1),
+		trial:    trial{shard: noTrial},
 	}
 	q.ctx, q.cancel = context.WithCancel(ctx)
 	q.events = make(chan event, 2*len(q.plan.shards))
@@ -101,6 +104,9 @@
 
 // want asks for an attempt on a shard, now or when a slot is free.
 func (q *query) want(shard int, kind obs.Attempt, now time.Time) {
+	if q.hold(shard, kind, now) {
+		return
+	}
 	sh := q.plan.shards[shard]
 	sh.enqueue(&waiter{query: q, rank: q.service.waitRank(q.rank), order: q.order, exclude: q.exclude(shard), kind: kind})
 	q.service.dispatch(q.plan, shard, now)
@@ -179,6 +185,9 @@
 		}
 	}
 	q.gather.GiveUp(shard, why)
+	if q.trial.shard == shard {
+		q.trial.shard = noTrial
+	}
 	select {
 	case q.nudge <- struct{}{}:
 	default:
@@ -194,7 +203,7 @@
 	q.fanOut()
 	for {
 		now := time.Now()
-		if q.gather.Finished(now) || !now.Before(q.deadline) || q.ctx.Err() != nil {
+		if q.trial.barred || q.gather.Finished(now) || !now.Before(q.deadline) || q.ctx.Err() != nil {
 			return
 		}
 		timer.Reset(q.wake(now))
@@ -203,11 +212,14 @@
 		case e := <-q.events:
 			s.mu.Lock()
 			q.handle(e)
+			q.releaseHeld(time.Now())
 		case <-timer.C:
 			s.mu.Lock()
 			q.onTimer(time.Now())
+			q.releaseHeld(time.Now())
 		case <-q.nudge:
 			s.mu.Lock()
+			q.releaseHeld(time.Now())
 		case <-q.ctx.Done():
 			s.mu.Lock()
 		}
@@ -259,6 +271,7 @@
 
 // finish ends the query and returns its answer. The lock is held.
 func (q *query) finish() scatter.Result {
+	q.tellEnds(time.Now())
 	q.done = true
 	close(q.gone)
 	for _, a := range q.running {
--- a/internal/home/reply.go
+++ b/internal/home/reply.go
@@ -14,6 +14,12 @@
 func (q *query) handle(e event) {
 	a, now := e.attempt, time.Now()
 	q.drop(a)
+	if q.trial.shard == a.shard {
+		q.trial.shard = noTrial
+	}
+	if e.ended {
+		q.leafEnded(a, now)
+	}
 	if a.generation != q.restarts {
 		q.late(e)
 		return
@@ -61,6 +67,7 @@
 	obs.CountPart(verdict.String())
 	switch verdict {
 	case scatter.Merged:
+		q.served(now)
 		q.cancelOthers(a.shard)
 	case scatter.OtherSnapshot:
 		q.again(a, obs.RetrySnapshot, false, now)
--- a/internal/home/serve.go
+++ b/internal/home/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/callerpb"
+	"github.com/mallowgap/mallowgap/quarantine"
 	"github.com/mallowgap/mallowgap/scatter"
 )
 
@@ -15,11 +16,20 @@
 // executed anything, now or later.
 func (s *Service) Serve(ctx context.Context, ask *callerpb.AskRequest, rank uint32) *callerpb.AskReply {
 	deadline := keepMargin(ctx, time.Now())
+	s.mu.Lock()
+	suspect, barred := s.standing(ask, time.Now())
+	s.mu.Unlock()
+	if barred != nil {
+		return barred
+	}
 	if refusal := s.await(ctx, ask, rank, deadline); refusal != nil {
 		return refusal
 	}
 	s.mu.Lock()
 	q := s.newQuery(ctx, ask, rank, deadline)
+	if suspect {
+		q.trial.Suspect()
+	}
 	s.mu.Unlock()
 	defer q.cancel()
 	q.loop()
@@ -29,7 +39,14 @@
 	s.queue.Admit()
 	service := s.queue.Service(rank)
 	spec := q.plan.spec
+	text := ""
+	if q.trial.barred {
+		text = s.barredText(fingerprint(ask))
+	}
 	s.mu.Unlock()
+	if text != "" && reached > 0 {
+		return Unknown(ask, callerpb.Reason_BARRED, text, quarantine.FirstProbation)
+	}
 	return conclude(ctx, ask, result, reached, spec.GetMinCoverage(), service)
 }
 
--- a/internal/home/service.go
+++ b/internal/home/service.go
@@ -13,6 +13,7 @@
 	"github.com/mallowgap/mallowgap/api/leafpb"
 	"github.com/mallowgap/mallowgap/internal/leaf"
 	"github.com/mallowgap/mallowgap/internal/obs"
+	"github.com/mallowgap/mallowgap/quarantine"
 	"github.com/mallowgap/mallowgap/replica"
 	"github.com/mallowgap/mallowgap/retry"
 )
@@ -65,7 +66,9 @@
 	incarnations map[string]uint64
 	queue        *admission.Queue
 	budget       *retry.Budget
-	order        uint64
+	// book knows the queries under which leaves ended.
+	book  *quarantine.Book
+	order uint64
 	// measured is when the capacity was last measured.
 	measured time.Time
 	leaving  func(address string) (uint64, bool)
@@ -82,6 +85,7 @@
 		incarnations: map[string]uint64{},
 		queue:        admission.New(options.Queue, 1),
 		budget:       retry.NewBudget(options.ExtraShare, budgetSize),
+		book:         quarantine.NewBook(name),
 		leaving:      func(string) (uint64, bool) { return 0, false },
 	}
 }
