--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mallowgap/mallowgap/api/leafpb"
 	"github.com/mallowgap/mallowgap/api/platformpb"
@@ -130,9 +133,38 @@
 	if !l.work(ctx, took) {
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
+	if l.isPoison(request.GetQuery()) {
+		go l.crash()
+		<-ctx.Done() // The connection ends with the leaf.
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
 	return l.answer(request)
 }
 
+func (l *Leaf) isPoison(query []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	poison := l.faults.GetPoison()
+	return poison != "" && strings.HasPrefix(string(query), poison)
+}
+
+// crash ends the leaf with all that it runs, and starts it again after a while.
+func (l *Leaf) crash() {
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	if faults.GetDown() {
+		return
+	}
+	down := proto.CloneOf(faults)
+	down.Down = true
+	_ = l.SetFaults(down) // Only a start can fail.
+	time.Sleep(time.Duration(faults.GetPoisonDownMs()) * time.Millisecond)
+	if err := l.SetFaults(faults); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 // begin takes a slot and records the execution, or says why not.
 func (l *Leaf) begin(request *leafpb.ExecuteRequest) (leafpb.Refusal_Kind, time.Duration, error) {
 	l.mu.Lock()
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -15,7 +15,15 @@
 # shellcheck disable=SC2046
 "$BIN" load $(load_targets) --verify --allow-lost "$RUN_DIR/chaos.ini" &
 load=$!
-sleep 5
+for part in $(seq 0 $((${LEAF_PARTS:-1} - 1))); do
+  "$BIN" standin fault --address "$(leaf_control "$part")" '{"poison": "poison", "poisonDownMs": 1500}' || status=1
+done
+echo "a query that ends the leaves which run it, eight times"
+for n in 0 1 2 3 0 1 2 3; do
+  last=$("$BIN" query --address "$(entry_callers "$n")" --desk counter-1 --service finder --timeout 2s poison 2>/dev/null)
+done
+case "$last" in *BARRED*) ;; *) echo "it is not turned away: $last"; status=1 ;; esac
+sleep 3
 echo "kill -9 entry-0, started again after 1 s"
 kill -9 "${ENTRY_PIDS[0]}"; wait "${ENTRY_PIDS[0]}" 2>/dev/null
 sleep 1; start_entry 0
