--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -152,14 +152,27 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, r.Address)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.settings.DialTimeout, Control: sockopt.UserTimeout(p.settings.UserTimeout), KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", r.Address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize)}, nil
 }
 
+// Open makes a new connection to an address and keeps it as an idle one.
+func (p *Pool) Open(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		p.put(address, c, nil)
+	}
+	return err
+}
+
 func (p *Pool) take(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
