Records of the store are taken with care; two data races

Cause: the race detector on parts of internal/gateway's tests: a query that a suspension makes older wrote its end while the goroutine of a call read it; the tests counted requests without a lock (older). A host's own record, as the store has it, may be older than what the host knows; one could be longer than a host writes.

Change: the time of a call is worked out before its goroutine starts; records are bounded as they are read, and an older one of one's own is left alone.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -222,11 +223,11 @@
 // Calls that are under way when a host learns that their request is barred end at once.
 func TestCallsUnderWayEndWithTheNews(t *testing.T) {
 	inWorld(t, shardedConfig(1, 2), serversOf(shardNames(2), "a1"), oneHost, func(w *world) {
-		stopped := 0
+		var stopped atomic.Int32
 		for _, shard := range shardNames(2) {
 			w.leafs.set(shard, func(ctx context.Context, _ *Request) (*Reply, error) {
 				<-ctx.Done()
-				stopped++
+				stopped.Add(1)
 				return nil, ctx.Err()
 			})
 		}
@@ -241,7 +242,7 @@
 		a := <-answers
 		assert.Equal(w.t, a.Outcome, Failed, "servers have it: %+v", a)
 		synctest.Wait()
-		assert.Equal(w.t, stopped, 2)
+		assert.Equal(w.t, stopped.Load(), int32(2))
 		assert.Assert(w.t, time.Since(began) < 300*time.Millisecond, "%v", time.Since(began))
 	})
 }
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -127,8 +127,8 @@
 	load Load
 	ran  time.Duration
 	// ended tells of a call that failed that the server ended with it, brokeOff that only its
-	// connection is known to have ended; barred of one that was
-	// not sent that the relay knows that servers end under the request.
+	// connection is known to have ended; barred of one that was not sent that the relay knows
+	// that servers end under the request.
 	ended, brokeOff, barred bool
 }
 
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -219,7 +219,7 @@
 		lines, _, err := explain.Read(strings.NewReader(log.String()))
 		assert.NilError(t, err)
 		var story strings.Builder
-		assert.NilError(t, explain.Of(lines, fmt.Sprint("r", w.nextID)).Write(&story))
+		assert.NilError(t, explain.Of(lines, fmt.Sprint("r", w.nextID.Load())).Write(&story))
 		assert.Assert(t, strings.Contains(story.String(), "servers are slow, as a peer near them reports"), story.String())
 	})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,9 +15,9 @@
 // sendDirect calls a server from here.
 func (q *query) sendDirect(ctx context.Context, a attempt, now time.Time) {
 	q.sent(a, now, false)
-	fresh := !q.entry.Idempotent
+	fresh, timeout := !q.entry.Idempotent, q.end.Sub(now)
 	go func() {
-		r := q.gateway.callServer(ctx, a.call, q.request, time.Until(q.end), fresh)
+		r := q.gateway.callServer(ctx, a.call, q.request, timeout, fresh)
 		r.shard = a.shard
 		e := event{results: []result{r}}
 		if r.outcome == relaypb.Outcome_PART && q.entry.Query != nil {
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -231,13 +231,10 @@
 	}
 }
 
-// maxWhat bounds the description of a request for operators, in bytes.
-const maxWhat = 160
-
 // describe says to operators what a request asks for.
 func describe(r *Request, routeName string) string {
 	what := r.Method + " " + r.Host + r.Target + " (route " + routeName + ")"
-	return what[:min(len(what), maxWhat)]
+	return what[:min(len(what), quarantine.MaxWhat)]
 }
 
 // fingerprint stands for the content of a request and its caller.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -35,7 +35,7 @@
 	peers  *fakePeers
 	hosts  map[string]*Gateway
 	ctx    context.Context
-	nextID int
+	nextID atomic.Int64
 	// asleep tells for how long a host's machine has been suspended.
 	asleepMu sync.Mutex
 	asleep   map[string]time.Duration
@@ -125,9 +125,8 @@
 }
 
 func (w *world) newRequest(path string) *Request {
-	w.nextID++
 	return &Request{
-		ID: fmt.Sprint("r", w.nextID), Method: http.MethodGet, Host: "desk.example", Path: path, Target: path,
+		ID: fmt.Sprint("r", w.nextID.Add(1)), Method: http.MethodGet, Host: "desk.example", Path: path, Target: path,
 		Header: http.Header{}, Arrived: time.Now(), Timeout: time.Second,
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -205,9 +205,8 @@
 }
 
 func decodeRecord(m *relaypb.QuarantineRecord) quarantine.Record {
-	servers := m.GetServers()
 	return quarantine.Record{
-		Servers: servers[:min(len(servers), quarantine.MaxNamed)], Ended: int(m.GetEnded()), Trials: m.GetTrialServers(),
+		Servers: m.GetServers(), Ended: int(m.GetEnded()), Trials: m.GetTrialServers(),
 		Versions: m.GetVersions(), What: m.GetWhat(), At: m.GetAt(),
 	}
 }
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -34,6 +34,8 @@
 	MaxCases = 512
 	// MaxNamed bounds the servers that a record names.
 	MaxNamed = 4 * LeastEnds
+	// MaxWhat bounds the description of a request for operators, in bytes.
+	MaxWhat = 160
 	// hostPart and trialPart tell the records of hosts and the claims of trials apart.
 	hostPart, trialPart = "host/", "trial/"
 )
@@ -60,7 +62,7 @@
 	Ended   int
 	// Trials are those of them that ended on trial, MaxNamed at most.
 	Trials []string
-	// Versions are those of the servers that ended.
+	// Versions are those of the servers that ended, MaxNamed at most.
 	Versions []string
 	// What describes the request to operators.
 	What string
@@ -72,11 +74,18 @@
 func (r *Record) add(more Record) {
 	r.Servers = addBounded(r.Servers, more.Servers...)
 	r.Trials = addBounded(r.Trials, more.Trials...)
-	r.Versions = union(r.Versions, more.Versions)
+	r.Versions = addBounded(r.Versions, more.Versions...)
 	r.Ended += more.Ended
 	r.What, r.At = more.What, more.At
 }
 
+// bounded returns a record with as much as one may hold.
+func (r Record) bounded() Record {
+	r.Servers, r.Trials, r.Versions = addBounded(nil, r.Servers...), addBounded(nil, r.Trials...), addBounded(nil, r.Versions...)
+	r.What = r.What[:min(len(r.What), MaxWhat)]
+	return r
+}
+
 func union(a, b []string) []string {
 	for _, s := range b {
 		if !slices.Contains(a, s) {
@@ -210,10 +219,14 @@
 	return r
 }
 
-// Learn takes in the record of a host, or one's own as the store has it.
+// Learn takes in the record of a host, or one's own as the store has it, which may be older
+// than what is known here.
 func (b *Book) Learn(f Fingerprint, host string, r Record, now time.Time) {
 	c := b.caseOf(f, now)
-	c.records[host] = r
+	if host == b.self && r.Ended < c.records[host].Ended {
+		return
+	}
+	c.records[host] = r.bounded()
 	if c.barredSince.IsZero() && c.summary(f).Standing == Barred {
 		c.barredSince = now
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -257,3 +257,23 @@
 	assert.Equal(t, b.Standing(guilty), Barred)
 	assert.Equal(t, b.Standing(beside), Barred)
 }
+
+// What the store has of a host's own record may be older than what the host knows, and longer than
+// a host would write.
+func TestRecordsOfTheStoreAreTakenWithCare(t *testing.T) {
+	f := Of(Content{Target: "/x"})
+	b := NewBook("h1")
+	b.Note(f, seen(true, "a"), day)
+	b.Note(f, seen(true, "b", "c"), day)
+	b.Learn(f, "h1", seen(true, "a"), day)
+	assert.Equal(t, b.Standing(f), Barred)
+	long := seen(true, strings.Split(strings.Repeat("x y z ", 100), " ")...)
+	for i := range long.Servers {
+		long.Servers[i] += fmt.Sprint(i)
+	}
+	long.What = strings.Repeat("w", 1000)
+	b.Learn(f, "h2", long, day)
+	s := b.Summary(f)
+	assert.Assert(t, len(s.Servers) <= 3+MaxNamed)
+	assert.Assert(t, len(s.What) <= MaxWhat)
+}
