The entry daemon forgets suspicions and protections whose time is over

Cause: found by reading: only the gateway swept its book, so that a home kept a suspicion, or the protection of a query that was served once, for ever.

--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -49,6 +49,7 @@
 	if s.book.Len() == 0 {
 		return false, nil
 	}
+	s.book.Expired(now) // Nothing is kept elsewhere that would have to be removed.
 	f := fingerprint(ask)
 	switch s.book.Standing(f) {
 	case quarantine.Clear:
