A test lost a line of the log to a writer that takes one at a time

The test logs to a buffer that is not safe for several goroutines, and at the moment of its first request the control goroutine writes too: one of two lines is overwritten. The program's own writer is safe for that.

Change: the buffers of such tests are behind a lock. What is checked stays.

--- a/internal/control/tally_test.go
+++ b/internal/control/tally_test.go
@@ -73,7 +73,7 @@
 func countLines(t *testing.T, self Host) {
 	t.Helper()
 	var out strings.Builder
-	s := newState(jsonDecoder{}, noListener{}, self, 3, zerolog.New(&out))
+	s := newState(jsonDecoder{}, noListener{}, self, 3, zerolog.New(zerolog.SyncWriter(&out)))
 	now := time.Unix(1000, 0)
 	entries := fleetEntries(195, 216, 1)
 	s.applyReading(Reading{Revision: 1, Entries: entries}, now)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -509,7 +509,7 @@
 	var lines bytes.Buffer
 	file := settingsOf(t, hostSpec{"h1", "a1", "a"})
 	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), nil, func(w *world) {
-		w.log = zerolog.New(&lines)
+		w.log = zerolog.New(zerolog.SyncWriter(&lines))
 		w.start(file)
 		time.Sleep(time.Second)
 		w.leafs.set("single", func(_ context.Context, r *Request) (*Reply, error) {
