A mutant of the doubt after a suspension names the test that catches it

Cause: TestHostThatWakesLearnsWhatChanged passed with the doubt taken out: a host that gives up its open call learns in time by itself; the doubt shows where nobody answers.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -121,7 +121,7 @@
 TestBarOutlivesTheHosts|TestEveryKindOfRequestIsBarred@internal/guard/guard.go@s/g.keeper.PutRecord\(/_ = func(string, []byte) {}; func(string, []byte) {}(/@what a host saw is not told
 TestLogTellsWithWhichRequestAServerEnded@internal/gateway/send.go@s/out.ended = g.edges.Leafs.Ended\(ctx, c.backend.Server\)/out.ended = true/@each broken connection counts as the end of a server
 TestServersThatAreBackAtOnceAreKnownToHaveEnded@internal/gateway/trial.go@s/range g.witnesses.Ended\(processName\(s\), now\) \{/range g.witnesses.Ended(processName(s), now)[:0] {/@entries are no witnesses of an end
-TestHostThatWakesLearnsWhatChanged@internal/control/wake.go@s/\ts.doubted = now\n//@a host that wakes does not doubt what it knows
+TestHostThatWakesAloneIsReadyAgain@internal/control/wake.go@s/\ts.doubted = now\n//@a host that wakes does not doubt what it knows
 TestRequestInHandEndsWithASuspension@internal/gateway/sleep.go@s/q.end, q.due, q.offerBy = q.end.Add\(-d\)/q.end, q.due, q.offerBy = q.end.Add(0)/; s/\tq.state.Slept\(d\)\n//@a request in hand does not count a suspension
 TestEndsArePutDownToOneRequest@quarantine/book.go@s/if other.Standing == Barred && other.outweighs\(s\) \{/if false {/@an end counts for every request that saw it
 TestStanding@quarantine/book.go@s/if !c.served.IsZero\(\) \{\n\t\ts.Standing = min/if false {\n\t\ts.Standing = min/@what was served is barred all the same
