One piece each for witnesses of ends, for a broken call's record and for the spread of trials

Cause: found by reading the change once more. The gateway kept the witnesses under a lock of its own beside the guard that takes what they tell; the record of a broken call was put together there field by field; gateway and home each had the spread of trials; the explanation of a quarantine compared every line about an end with every other, also with those of other servers; a comment said that outweighs counts servers, where it counts what hosts saw.

Ruled out: a change of what is recorded. A call is only kept with a version where its process is known, and only such a call is found again by the end of that process, so its version is the same one.

Change: Guard.Broke and Guard.ServerEnded under the lock that the book has, BrokenCall.Record, quarantine.TrialSpread, ends grouped by server, the comment. The mutant of the witnesses points at its new place. Behaviour is the same.

--- a/internal/explain/quarantine.go
+++ b/internal/explain/quarantine.go
@@ -21,7 +21,8 @@
 // where, since when it is turned away and who was harmed beside it.
 type Quarantine struct {
 	cases map[string]*contentCase
-	ends  []Line
+	// ends are the lines about ends, by server.
+	ends map[string][]Line
 }
 
 // contentCase is what the logs tell of one fingerprint.
@@ -39,7 +40,7 @@
 
 // QuarantineOf reads the lines about requests under which servers ended.
 func QuarantineOf(lines []Line) Quarantine {
-	q := Quarantine{cases: map[string]*contentCase{}}
+	q := Quarantine{cases: map[string]*contentCase{}, ends: map[string][]Line{}}
 	for _, l := range lines {
 		fingerprint := l.field("fingerprint")
 		if fingerprint == "" {
@@ -47,7 +48,8 @@
 		}
 		switch {
 		case strings.HasPrefix(l.Message, endedMessage):
-			q.ends = append(q.ends, l)
+			server := l.field("server")
+			q.ends[server] = append(q.ends[server], l)
 			q.of(fingerprint).end(l)
 		case l.Message == standingMessage:
 			q.of(fingerprint).changed(l)
@@ -55,8 +57,8 @@
 			q.of(fingerprint).refused++
 		}
 	}
-	for _, l := range q.ends {
-		q.addBeside(l)
+	for _, ends := range q.ends {
+		q.addBeside(ends)
 	}
 	return q
 }
@@ -98,12 +100,14 @@
 	}
 }
 
-// addBeside notes the requests with other contents that lost the same server.
-func (q Quarantine) addBeside(end Line) {
-	for _, other := range q.ends {
-		gap := other.Time.Sub(end.Time).Abs()
-		if other.field("server") == end.field("server") && gap <= besideWithin && other.field("fingerprint") != end.field("fingerprint") {
-			q.cases[end.field("fingerprint")].beside[other.Request] = true
+// addBeside notes, for each end of a server, the requests with other contents that lost it too.
+func (q Quarantine) addBeside(ends []Line) {
+	for _, end := range ends {
+		for _, other := range ends {
+			gap := other.Time.Sub(end.Time).Abs()
+			if gap <= besideWithin && other.field("fingerprint") != end.field("fingerprint") {
+				q.cases[end.field("fingerprint")].beside[other.Request] = true
+			}
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/mallowgap/mallowgap/internal/guard"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/limit"
-	"github.com/mallowgap/mallowgap/quarantine"
 	"github.com/mallowgap/mallowgap/route"
 )
 
@@ -46,10 +45,7 @@
 	peers    *control.PeerHealth
 	reports  *reports
 	guard    *guard.Guard
-	// witnesses wait for what becomes of servers at which calls broke off.
-	witnessMu sync.Mutex
-	witnesses *quarantine.Witnesses
-	sleep     *sleep
+	sleep    *sleep
 	// patience tells by route for how long callers wait.
 	patienceMu sync.Mutex
 	patience   map[string]*admission.Patience
@@ -75,10 +71,8 @@
 		latency:  newLatencies(settings.GetQuery().GetHedgeQuantile()),
 		reports:  newReports(f),
 		sleep:    newSleep(),
-
-		witnesses: quarantine.NewWitnesses(),
-		patience:  map[string]*admission.Patience{},
-		started:   time.Now(),
+		patience: map[string]*admission.Patience{},
+		started:  time.Now(),
 	}
 	g.guard = guard.New(h.GetName(), keeper{g}, log)
 	g.control = control.New(control.Config{
@@ -107,7 +101,9 @@
 // ServersChanged implements control.Listener.
 func (l listener) ServersChanged(servers []discovery.Server, shares func(discovery.Server) control.Share, now time.Time) {
 	restarted, ended := l.gateway.fleet.update(servers, shares, now)
-	l.gateway.witness(ended, now)
+	for _, s := range ended {
+		l.gateway.guard.ServerEnded(processName(s), s.ID, s.Service, now)
+	}
 	for _, restarted := range restarted {
 		l.gateway.requests.servers.Info().Str("server", restarted.ID).Str("service", restarted.Service).Int64("born", restarted.Born).Msg("server starts anew: what was observed of it is forgotten")
 		go l.gateway.edges.Leafs.Forget(restarted)
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -9,7 +9,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/quarantine"
 )
 
@@ -17,11 +16,6 @@
 	// trialStep is how often attempts that wait for a trial are looked at again where nothing
 	// happens before.
 	trialStep = 20 * time.Millisecond
-	// trialSpread is the longest wait, drawn at random, before a second trial, beside a shard
-	// drawn at random: requests that lost the same servers met on trial again, and one that had
-	// ended none was barred (the soak, 1 seed of 10). Where work takes longer than this, they
-	// are told apart by the shard, and by which of them ended more servers.
-	trialSpread = 100 * time.Millisecond
 	// mostTrials is the number of trials of one query that may fail without it being known that
 	// the server ended: a lost answer is no reason to give up, three in a row on trial are.
 	mostTrials = 3
@@ -148,7 +142,7 @@
 		q.stopCalls()
 	}
 	if told {
-		q.trial.Wait(rand.N(trialSpread))
+		q.trial.Wait(rand.N(quarantine.TrialSpread))
 		q.tellEnds(now)
 	}
 }
@@ -183,37 +177,11 @@
 	if len(q.trial.broken) == 0 || q.trial.WasServed() {
 		return
 	}
-	g := q.gateway
-	g.witnessMu.Lock()
-	defer g.witnessMu.Unlock()
 	for _, end := range q.trial.broken {
-		g.witnesses.Broke(quarantine.BrokenCall{Fingerprint: q.fingerprint(), End: end, What: describe(q.request, q.entry.Name), At: now})
+		q.gateway.guard.Broke(quarantine.BrokenCall{Fingerprint: q.fingerprint(), End: end, What: describe(q.request, q.entry.Name), At: now})
 	}
 }
 
-// witness takes in that servers ended without having drained: the calls that broke off there
-// not long before ended with them.
-func (g *Gateway) witness(ended []discovery.Server, now time.Time) {
-	g.witnessMu.Lock()
-	defer g.witnessMu.Unlock()
-	for _, s := range ended {
-		for _, c := range g.witnesses.Ended(processName(s), now) {
-			g.guard.LogEnd(c.Fingerprint, "", s.ID, s.Service, now.Sub(c.At), "a call broke off, and its entry tells that it ended", c.End)
-			g.guard.Note(c.Fingerprint, quarantine.Record{
-				Servers: []string{c.End.Server}, Ended: 1, Trials: trialOf(c.End), Versions: []string{s.Version}, What: c.What, At: c.At.UnixMilli(),
-			}, now)
-		}
-	}
-}
-
-// trialOf names the server of an end on trial.
-func trialOf(e quarantine.End) []string {
-	if e.OnTrial {
-		return []string{e.Server}
-	}
-	return nil
-}
-
 // tellEnds tells all hosts of the servers that ended under a query that none served since.
 func (q *query) tellEnds(now time.Time) {
 	seen, any := q.trial.Tell()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -49,13 +49,18 @@
 
 	mu   sync.Mutex
 	book *quarantine.Book
+	// witnesses wait for what becomes of servers at which calls broke off.
+	witnesses *quarantine.Witnesses
 	// barred is closed, and made anew, when a request is barred.
 	barred chan struct{}
 }
 
 // New returns a guard of a host that knows nothing.
 func New(host string, keeper Keeper, log zerolog.Logger) *Guard {
-	return &Guard{host: host, keeper: keeper, log: obs.Bounded(log, linesPerSecond), book: quarantine.NewBook(host), barred: make(chan struct{})}
+	return &Guard{
+		host: host, keeper: keeper, log: obs.Bounded(log, linesPerSecond),
+		book: quarantine.NewBook(host), witnesses: quarantine.NewWitnesses(), barred: make(chan struct{}),
+	}
 }
 
 // Active reports whether anything is held against some request.
@@ -122,11 +127,35 @@
 func (g *Guard) Note(f quarantine.Fingerprint, seen quarantine.Record, now time.Time) quarantine.Standing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.note(f, seen, now)
+	return g.book.Standing(f)
+}
+
+// note is Note for callers that hold the lock.
+func (g *Guard) note(f quarantine.Fingerprint, seen quarantine.Record, now time.Time) {
 	before := g.book.Standing(f)
 	record := g.book.Note(f, seen, now)
 	g.changed(f, before, g.host)
 	g.put(f, record)
-	return g.book.Standing(f)
+}
+
+// Broke takes in that a call of a query that nobody served broke off: the entry of its server
+// may yet tell that it ended.
+func (g *Guard) Broke(c quarantine.BrokenCall) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.witnesses.Broke(c)
+}
+
+// ServerEnded takes in that a process of a server ended without having drained: the calls that
+// broke off there not long before ended with it.
+func (g *Guard) ServerEnded(process, server, service string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.witnesses.Ended(process, now) {
+		g.LogEnd(c.Fingerprint, "", server, service, now.Sub(c.At), "a call broke off, and its entry tells that it ended", c.End)
+		g.note(c.Fingerprint, c.Record(), now)
+	}
 }
 
 // Clear takes in that a server served a request.
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -14,8 +14,6 @@
 	// witnessTimeout bounds the question that tells whether a leaf ended with a query: the way
 	// to another failure domain and back many times.
 	witnessTimeout = 100 * time.Millisecond
-	// trialSpread is the longest wait, drawn at random, before a second trial.
-	trialSpread = 100 * time.Millisecond
 	// noTrial is the shard on trial where none is.
 	noTrial = -1
 )
@@ -120,7 +118,7 @@
 		}
 	}
 	if told {
-		q.trial.Wait(time.Duration(q.service.rng.Int64N(int64(trialSpread))))
+		q.trial.Wait(time.Duration(q.service.rng.Int64N(int64(quarantine.TrialSpread))))
 		q.tellEnds(now)
 	}
 }
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -210,8 +210,8 @@
 	return max(standingOf(s.Servers, s.Trials), Suspect)
 }
 
-// outweighs reports whether an end that two requests saw is put down to this one: it ended more
-// servers.
+// outweighs reports whether an end that two requests saw is put down to this one: hosts saw
+// more ends under it. The end of one process counts once for each host that saw it.
 func (s Summary) outweighs(other Summary) bool {
 	if s.Ended != other.Ended {
 		return s.Ended > other.Ended
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -11,6 +11,11 @@
 	// noticed within a few milliseconds, however long they work. A second trial waits for that
 	// time, so that the first one holds nobody up.
 	trialSettle = 25 * time.Millisecond
+	// TrialSpread is the longest wait, drawn at random, before a second trial, beside a shard
+	// drawn at random: requests that lost the same servers met on trial again, and one that had
+	// ended none was barred (the soak, 1 seed of 10). Where work takes longer than this, they
+	// are told apart by the shard, and by which of them ended more servers.
+	TrialSpread = 100 * time.Millisecond
 	// stopAfter is the number of servers that end under a query that none has served after
 	// which it is taken from those that run it: one may be chance, and two before any has
 	// served are not, where fewer than half of all are lost. Of 40 servers of 20 shards, which
--- a/quarantine/witness.go
+++ b/quarantine/witness.go
@@ -20,6 +20,15 @@
 	At time.Time
 }
 
+// Record is what is to be told of the call once its server is known to have ended.
+func (c BrokenCall) Record() Record {
+	r := Record{Servers: []string{c.End.Server}, Ended: 1, Versions: []string{c.End.Version}, What: c.What, At: c.At.UnixMilli()}
+	if c.End.OnTrial {
+		r.Trials = r.Servers
+	}
+	return r
+}
+
 // Witnesses keeps broken calls of queries that nobody served until it is known what became of
 // their servers. One that a supervisor starts again at once accepts the next connection, so
 // that only its entry tells later that it had ended. It is not safe for concurrent use.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -120,7 +120,7 @@
 TestBarredRequestIsTriedAgain@quarantine/book.go@s/now.Sub\(c.barredSince\) >= probation/true/@a trial is due at once
 TestBarOutlivesTheHosts|TestEveryKindOfRequestIsBarred@internal/guard/guard.go@s/g.keeper.PutRecord\(/_ = func(string, []byte) {}; func(string, []byte) {}(/@what a host saw is not told
 TestLogTellsWithWhichRequestAServerEnded@internal/gateway/send.go@s/out.ended = g.edges.Leafs.Ended\(ctx, c.backend.Server\)/out.ended = true/@each broken connection counts as the end of a server
-TestServersThatAreBackAtOnceAreKnownToHaveEnded@internal/gateway/trial.go@s/range g.witnesses.Ended\(processName\(s\), now\) \{/range g.witnesses.Ended(processName(s), now)[:0] {/@entries are no witnesses of an end
+TestServersThatAreBackAtOnceAreKnownToHaveEnded@internal/guard/guard.go@s/range g.witnesses.Ended\(process, now\) \{/range g.witnesses.Ended(process, now)[:0] {/@entries are no witnesses of an end
 TestHostThatWakesAloneIsReadyAgain@internal/control/wake.go@s/\ts.doubted = now\n//@a host that wakes does not doubt what it knows
 TestRequestInHandEndsWithASuspension@internal/gateway/sleep.go@s/q.end, q.due, q.offerBy = q.end.Add\(-d\)/q.end, q.due, q.offerBy = q.end.Add(0)/; s/\tq.state.Slept\(d\)\n//@a request in hand does not count a suspension
 TestEndsArePutDownToOneRequest@quarantine/book.go@s/if other.Standing == Barred && other.outweighs\(s\) \{/if false {/@an end counts for every request that saw it
