The standing of a barred request sums up only those that lost a server of it

The standing of a barred request summed up every other one, with unions of the servers of all hosts, to find those that explain an end: 0.6 ms in a book full of barred requests, under the lock that all requests take while anything is held, with every attempt of a barred one.

Ruled out: to keep the sums beside the records: that is state that follows from them and changes in five places.

Change: a request that names none of the other's servers explains none of its ends and is passed over before it is summed up. Both lists of the other are looked at, since the bound of each may leave out what the other has. The result is the same.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -197,9 +197,13 @@
 // other barred request stands in. The end of one process has one cause, and every request that
 // it ran saw it: a server on which two were on trial at the same moment, after one of them had
 // ended others of both, would bar both.
+//
+// Requests that lost none of its servers are passed over before they are summed up: this is
+// asked with every attempt of a barred request. In a book full of barred ones that share no
+// server it takes 0.1 ms here, 0.6 ms where each is summed up (BenchmarkStandingOfBarred).
 func (b *Book) unexplained(s Summary) Standing {
 	for f, c := range b.cases {
-		if f == s.Fingerprint || c.barredSince.IsZero() {
+		if f == s.Fingerprint || c.barredSince.IsZero() || !c.lostOneOf(s) {
 			continue
 		}
 		other := c.summary(f)
@@ -210,6 +214,19 @@
 	return max(standingOf(s.Servers, s.Trials), Suspect)
 }
 
+// lostOneOf reports whether a server that is named for the other request ended under this one.
+func (c *history) lostOneOf(other Summary) bool {
+	named := func(server string) bool {
+		return slices.Contains(other.Servers, server) || slices.Contains(other.Trials, server)
+	}
+	for _, r := range c.records {
+		if slices.ContainsFunc(r.Servers, named) {
+			return true
+		}
+	}
+	return false
+}
+
 // outweighs reports whether an end that two requests saw is put down to this one: hosts saw
 // more ends under it. The end of one process counts once for each host that saw it.
 func (s Summary) outweighs(other Summary) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -287,3 +287,16 @@
 	assert.Assert(t, len(s.Servers) <= 3+MaxNamed)
 	assert.Assert(t, len(s.What) <= MaxWhat)
 }
+
+// BenchmarkStandingOfBarred is a book full of barred requests that share no server.
+func BenchmarkStandingOfBarred(b *testing.B) {
+	book := NewBook("h1")
+	var last Fingerprint
+	for i := range MaxCases {
+		last = Of(Content{Target: fmt.Sprint(i)})
+		book.Note(last, seen(true, fmt.Sprint("a", i), fmt.Sprint("b", i), fmt.Sprint("c", i)), day)
+	}
+	for b.Loop() {
+		assert.Equal(b, book.Standing(last), Barred)
+	}
+}
