A test of a query under way whose content is barred, in the entry daemon; known to be red

The same class as in the gateway: what is barred is looked up where a query begins, and by the query that saw the last leaf end. Others with the same content hear nothing.

--- a/internal/home/deaths_test.go
+++ b/internal/home/deaths_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,21 @@
 	mu     sync.Mutex
 	died   map[string]chan struct{}
 	deaths int
+	// works is for how long a leaf runs a query that ends it, by its content.
+	works map[string]time.Duration
+}
+
+// slow sets for how long leaves run a query that ends them.
+func (f *mortalFleet) slow(query string, work time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.works[query] = work
+}
+
+func (f *mortalFleet) work(query string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.works[query], serviceTime)
 }
 
 func (f *mortalFleet) life(address string) chan struct{} {
@@ -69,10 +85,14 @@
 	if f.isAway(address) {
 		return nil, &leaf.NotSentError{Address: address, Err: errors.New("connection refused")}
 	}
-	if string(r.GetQuery()) == "poison" {
-		time.Sleep(serviceTime)
-		f.end(address)
-		return nil, errors.New("connection reset")
+	if query := string(r.GetQuery()); strings.HasSuffix(query, "poison") {
+		select {
+		case <-time.After(f.work(query)):
+			f.end(address)
+			return nil, errors.New("connection reset")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -104,7 +124,7 @@
 
 // mortalService is a service of such leaves that has been there for a second.
 func mortalService() (*home.Service, *mortalFleet) {
-	fleet := &mortalFleet{Fleet: leaffake.New(leafSlots, serviceTime, time.Millisecond), died: map[string]chan struct{}{}}
+	fleet := &mortalFleet{Fleet: leaffake.New(leafSlots, serviceTime, time.Millisecond), died: map[string]chan struct{}{}, works: map[string]time.Duration{}}
 	s := home.NewService("search", fleet, home.Options{
 		Queue: admission.Settings{Length: 64, FloorShare: 0.02}, Hedging: true, HedgeQuantile: 97, ExtraShare: 0.05, Prefix: "home-0/1",
 	})
@@ -201,3 +221,35 @@
 		assert.Check(t, good >= 180)
 	})
 }
+
+// Two queries with the same content are under way when the leaves of one end and it is barred: the
+// calls of the other end too, as they would take their leaves with them. On the code without the
+// mend the second one ran on until its leaves had answered or its time was up: what was barred was
+// looked up where a query begins, and by the query that had seen the last leaf end.
+func TestQueryUnderWayEndsWhenItsContentIsBarred(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, fleet := mortalService()
+		fleet.slow("slow poison", 500*time.Millisecond)
+		ask := func(id string) *callerpb.AskReply {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			return s.Serve(ctx, &callerpb.AskRequest{Desk: "d", Service: "search", RequestId: id, Query: []byte("slow poison")}, 0)
+		}
+		var first *callerpb.AskReply
+		var wg sync.WaitGroup
+		wg.Go(func() { first = ask("r1") })
+		time.Sleep(100 * time.Millisecond)
+		fleet.slow("slow poison", 0)
+		var barredAt time.Time
+		for i := 0; barredAt.IsZero(); i++ {
+			if ask(fmt.Sprint("again", i)).GetReason() == callerpb.Reason_BARRED {
+				barredAt = time.Now()
+			}
+			assert.Assert(t, i < 20, "it is never barred")
+		}
+		began := time.Now()
+		wg.Wait()
+		assert.Equal(t, first.GetReason(), callerpb.Reason_BARRED, "%v", first)
+		assert.Equal(t, time.Since(began), time.Duration(0), "it ran on")
+	})
+}
