Every change of a standing is told, whatever it follows from

What callers saw: where servers ended under a request while it was protected, because one had just served it, its calls under way ran on after it was barred, up to ten seconds after the ends, and took further servers with them; the log had no line of the bar. The same where a request is barred because the one that had explained its ends is served, cleared, over or driven out of the book.

Cause: a standing was compared before and after an event, for the request that the event names. TestBarThatBeginsWithTimeIsNews finds the standing barred and News open in the next line; TestBarThatBeginsAsAnotherEndsIsNews finds it four times more.

Change: the book itself notes each change of a standing, in the one place where a request is summed up (reconsider) or forgotten (drop), for it and for those that lost servers with it; the guard asks for the changes after each step and tells all of them. There is no step left that could forget it. A lifted bar has its line too, with the request that explains it.

--- a/cmd/mallowgap/quarantine.go
+++ b/cmd/mallowgap/quarantine.go
@@ -58,7 +58,7 @@
 	}
 	book := quarantine.NewBook("")
 	for _, e := range records {
-		if err := guard.LearnRecord(book, e, time.Now()); err != nil {
+		if _, err := guard.LearnRecord(book, e, time.Now()); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 		}
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -95,31 +95,36 @@
 	return g.book.DueTrial(f, versions, now)
 }
 
-// changed notes what the book holds now. Callers hold the lock.
-func (g *Guard) changed(f quarantine.Fingerprint, before quarantine.Standing, toldBy string) {
+// tell lets all know how standings have changed: calls under way of requests that are barred end,
+// and a line says so of each, whether an event was about that request, about another one that
+// explained its ends, or about none but the time. Callers hold the lock.
+func (g *Guard) tell(by string) {
 	g.known.Store(int64(g.book.Len()))
-	s := g.book.Summary(f)
-	if s.Standing == before {
-		return
+	for _, c := range g.book.Changes() {
+		if c.Now.Standing == quarantine.Barred {
+			close(g.barred)
+			g.barred = make(chan struct{})
+		}
+		g.logChange(c, by)
 	}
-	if s.Standing == quarantine.Barred {
-		g.logExplained(f)
-		close(g.barred)
-		g.barred = make(chan struct{})
+}
+
+func (g *Guard) logChange(c quarantine.Change, by string) {
+	s := c.Now
+	e := g.log.Warn().Stringer("fingerprint", s.Fingerprint).Stringer("standing", s.Standing).Stringer("before", c.Before).Str("told_by", by).
+		Int("servers_ended", s.Ended).Strs("servers", s.Servers).Strs("seen_by", s.Hosts).Str("what", s.What)
+	if len(s.ExplainedBy) > 0 {
+		e = e.Stringers("explained_by", stringers(s.ExplainedBy))
 	}
-	g.log.Warn().Stringer("fingerprint", f).Stringer("standing", s.Standing).Stringer("before", before).Str("told_by", toldBy).
-		Int("servers_ended", s.Ended).Strs("servers", s.Servers).Strs("seen_by", s.Hosts).Str("what", s.What).
-		Msg("standing of a request under which servers ended has changed")
+	e.Msg("standing of a request under which servers ended has changed")
 }
 
-// logExplained says which requests are barred no longer, as the ends that they saw are put down
-// to one that is. Callers hold the lock.
-func (g *Guard) logExplained(by quarantine.Fingerprint) {
-	for _, s := range g.book.Summaries() {
-		if s.Standing == quarantine.Suspect && len(s.Trials) >= quarantine.LeastTrials && len(s.Servers) >= quarantine.LeastEnds {
-			g.log.Info().Stringer("fingerprint", s.Fingerprint).Stringer("explained_by", by).Int("servers_ended", s.Ended).Msg("ends of servers are put down to another request")
-		}
+func stringers(prints []quarantine.Fingerprint) []fmt.Stringer {
+	var all []fmt.Stringer
+	for _, f := range prints {
+		all = append(all, f)
 	}
+	return all
 }
 
 // Note takes in what this host saw of a request, lets all others know, and returns its
@@ -133,9 +138,8 @@
 
 // note is Note for callers that hold the lock.
 func (g *Guard) note(f quarantine.Fingerprint, seen quarantine.Record, now time.Time) {
-	before := g.book.Standing(f)
 	record := g.book.Note(f, seen, now)
-	g.changed(f, before, g.host)
+	g.tell(g.host)
 	g.put(f, record)
 }
 
@@ -162,13 +166,12 @@
 func (g *Guard) Clear(f quarantine.Fingerprint, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := g.book.Standing(f)
 	own, over, known := g.book.Clear(f, now)
 	if !known {
 		return
 	}
 	quarantineCleared.Inc()
-	g.changed(f, before, g.host)
+	g.tell(g.host)
 	g.put(f, own)
 	g.keeper.RemoveRecords(over)
 }
@@ -187,37 +190,33 @@
 func (g *Guard) Learn(e control.Entry, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	name, err := quarantine.ParseName(e.Name)
-	before := g.book.Standing(name.Fingerprint)
-	if err == nil {
-		err = LearnRecord(g.book, e, now)
-	}
+	name, err := LearnRecord(g.book, e, now)
 	if err != nil {
 		g.log.Warn().Err(err).Str("entry", e.Name).Msg("entry about a request in quarantine cannot be read; it is left out")
 		return
 	}
-	g.changed(name.Fingerprint, before, name.Host)
+	g.tell(name.Host)
 }
 
-// LearnRecord takes an entry of the store into a book.
-func LearnRecord(book *quarantine.Book, e control.Entry, now time.Time) error {
+// LearnRecord takes an entry of the store into a book, and returns its name.
+func LearnRecord(book *quarantine.Book, e control.Entry, now time.Time) (quarantine.Name, error) {
 	name, err := quarantine.ParseName(e.Name)
 	if err != nil {
-		return err
+		return name, err
 	}
 	switch {
 	case e.Removed:
-		book.Forget(name)
+		book.Forget(name, now)
 	case name.Claim != "":
 		book.LearnClaim(name, now)
 	default:
 		var record relaypb.QuarantineRecord
 		if err := proto.Unmarshal(e.Value, &record); err != nil {
-			return fmt.Errorf("decode the record %s: %w", e.Name, err)
+			return name, fmt.Errorf("decode the record %s: %w", e.Name, err)
 		}
 		book.Learn(name.Fingerprint, name.Host, decodeRecord(&record), now)
 	}
-	return nil
+	return name, nil
 }
 
 // Sweep forgets what is over. Only a host that reads the store itself removes it there.
@@ -225,7 +224,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	names := g.book.Expired(now)
-	g.known.Store(int64(g.book.Len()))
+	g.tell("time")
 	if len(names) == 0 {
 		return
 	}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -11,6 +11,8 @@
 //     trial: it was sent there alone, after others had ended. A lost failure domain ends many
 //     servers under a request that has nothing to do with it; the trial is served then.
 //   - The end of one process is put down to one of the requests that saw it.
+//   - Every change of a standing is told by Changes, once, also where it follows from what
+//     became of another request or from the time.
 //   - A server that serves a request clears it.
 //   - A barred request goes to a server only on a trial that one host of all has claimed, at
 //     most MaxTrials times, each after a longer probation, and once more when all servers
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -90,7 +90,7 @@
 	b.Clear(g, day)
 	assert.DeepEqual(t, b.Expired(day.Add(servedLife)), []string{RecordName(g, "h1")})
 	for _, host := range []string{"h1", "h2", "h3"} {
-		b.Forget(Name{Fingerprint: f, Host: host})
+		b.Forget(Name{Fingerprint: f, Host: host}, day)
 	}
 	assert.Equal(t, b.Len(), 0)
 }
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// trialSettle is for how long no server may have ended under a query, but on trial, for
@@ -113,13 +110,3 @@
 	s.seen, s.suspected = Record{}, true
 	return seen, true
 }
-
-// addBounded adds texts to a few, each once.
-func addBounded(list []string, texts ...string) []string {
-	for _, text := range texts {
-		if len(list) < MaxNamed && !slices.Contains(list, text) {
-			list = append(list, text)
-		}
-	}
-	return list
-}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning ($file no longer has it)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -116,15 +116,18 @@
 TestHostThatIsCutOffRefusesWhatItCannotServe@internal/gateway/reach.go@s/return lost > 0/return false/@a host that is cut off holds what it cannot serve
 TestRequestThatEndsServersIsTurnedAway@quarantine/suspicion.go@s/return s.served == 0 && s.suspected \|\| s.seen.Ended > s.served/return false/@a query under which servers end is not held back
 TestQueryThatEndsServersIsTakenFromTheOthers@quarantine/suspicion.go@s/stopAfter = 2/stopAfter = 2000/@a query is not taken from the servers that still run it
-TestServersThatEndByThemselvesBarNobody@quarantine/book.go@s/case len\(servers\) >= LeastEnds && len\(trials\) >= LeastTrials:/case len(servers) >= LeastEnds:/@servers that ended are counted without a trial
+TestStanding@quarantine/standing.go@s/case len\(servers\) >= LeastEnds && len\(trials\) >= LeastTrials:/case len(servers) >= LeastEnds:/@servers that ended are counted without a trial
 TestBarredRequestIsTriedAgain@quarantine/book.go@s/now.Sub\(c.barredSince\) >= probation/true/@a trial is due at once
 TestBarOutlivesTheHosts|TestEveryKindOfRequestIsBarred@internal/guard/guard.go@s/g.keeper.PutRecord\(/_ = func(string, []byte) {}; func(string, []byte) {}(/@what a host saw is not told
 TestLogTellsWithWhichRequestAServerEnded@internal/gateway/send.go@s/out.ended = g.edges.Leafs.Ended\(ctx, c.backend.Server\)/out.ended = true/@each broken connection counts as the end of a server
 TestServersThatAreBackAtOnceAreKnownToHaveEnded@internal/guard/guard.go@s/range g.witnesses.Ended\(process, now\) \{/range g.witnesses.Ended(process, now)[:0] {/@entries are no witnesses of an end
 TestHostThatWakesAloneIsReadyAgain@internal/control/wake.go@s/\ts.doubted = now\n//@a host that wakes does not doubt what it knows
 TestRequestInHandEndsWithASuspension@internal/gateway/sleep.go@s/q.end, q.due, q.offerBy = q.end.Add\(-d\)/q.end, q.due, q.offerBy = q.end.Add(0)/; s/\tq.state.Slept\(d\)\n//@a request in hand does not count a suspension
-TestEndsArePutDownToOneRequest@quarantine/book.go@s/if other.Standing == Barred && other.outweighs\(s\) \{/if false {/@an end counts for every request that saw it
-TestStanding@quarantine/book.go@s/if !c.served.IsZero\(\) \{\n\t\ts.Standing = min/if false {\n\t\ts.Standing = min/@what was served is barred all the same
-TestStanding@quarantine/book.go@s/LeastTrials = 2/LeastTrials = 1/@one end on trial is enough
+TestEndsArePutDownToOneRequest@quarantine/standing.go@s/if other.Standing == Barred && other.outweighs\(s\) \{/if false {/@an end counts for every request that saw it
+TestStanding@quarantine/standing.go@s/if !c.served.IsZero\(\) \{\n\t\ts.Standing = min/if false {\n\t\ts.Standing = min/@what was served is barred all the same
+TestBarThatBeginsWithTimeIsNews@internal/guard/guard.go@s/g.tell\("time"\)/g.known.Store(int64(g.book.Len()))/@a bar that begins with time is told to nobody
+TestBarThatBeginsAsAnotherEndsIsNews@quarantine/standing.go@s/\n\tb.settleExplained\([a-z.]+\)//g@a bar that begins as another ends is told to nobody
+TestQueryUnderWayEndsWhenItsContentIsBarred@internal/home/query.go@s/q.heardNews\(\)/q.trial.news = nil/@queries under way hear of no bar
+TestStanding@quarantine/standing.go@s/LeastTrials = 2/LeastTrials = 1/@one end on trial is enough
 LIST
 exit $survived
