The entry daemon ends queries under way whose content is barred

What callers saw: a desk's query whose content had just been barred ran on, 0.12 s in the test, held slots and could end further leaves; its answer came when its leaves had broken off.

Change: the service closes a channel with each bar that the book tells of, and queries look up their own content then; the trial of a barred content goes on.

--- a/internal/home/query.go
+++ b/internal/home/query.go
@@ -63,7 +63,7 @@
 }
 
 // newQuery pins an admitted request to the plan in force.
-func (s *Service) newQuery(ctx context.Context, ask *callerpb.AskRequest, rank uint32, deadline time.Time) *query {
+func (s *Service) newQuery(ctx context.Context, ask *callerpb.AskRequest, rank uint32, deadline time.Time, begin trial) *query {
 	q := &query{
 		service:  s,
 		ask:      ask,
@@ -74,7 +74,7 @@
 		start:    time.Now(),
 		gone:     make(chan struct{}),
 		nudge:    make(chan struct{}, 1),
-		trial:    trial{shard: noTrial},
+		trial:    begin,
 	}
 	q.ctx, q.cancel = context.WithCancel(ctx)
 	q.events = make(chan event, 2*len(q.plan.shards))
@@ -220,6 +220,9 @@
 		case <-q.nudge:
 			s.mu.Lock()
 			q.releaseHeld(time.Now())
+		case <-q.trial.news:
+			s.mu.Lock()
+			q.heardNews()
 		case <-q.ctx.Done():
 			s.mu.Lock()
 		}
--- a/internal/home/serve.go
+++ b/internal/home/serve.go
@@ -17,7 +17,7 @@
 func (s *Service) Serve(ctx context.Context, ask *callerpb.AskRequest, rank uint32) *callerpb.AskReply {
 	deadline := keepMargin(ctx, time.Now())
 	s.mu.Lock()
-	suspect, barred := s.standing(ask, time.Now())
+	begin, barred := s.standing(ask, time.Now())
 	s.mu.Unlock()
 	if barred != nil {
 		return barred
@@ -26,10 +26,7 @@
 		return refusal
 	}
 	s.mu.Lock()
-	q := s.newQuery(ctx, ask, rank, deadline)
-	if suspect {
-		q.trial.Suspect()
-	}
+	q := s.newQuery(ctx, ask, rank, deadline, begin)
 	s.mu.Unlock()
 	defer q.cancel()
 	q.loop()
--- a/internal/home/service.go
+++ b/internal/home/service.go
@@ -67,8 +67,10 @@
 	queue        *admission.Queue
 	budget       *retry.Budget
 	// book knows the queries under which leaves ended.
-	book  *quarantine.Book
-	order uint64
+	book *quarantine.Book
+	// barred is closed, and made anew, when a content is barred.
+	barred chan struct{}
+	order  uint64
 	// measured is when the capacity was last measured.
 	measured time.Time
 	leaving  func(address string) (uint64, bool)
@@ -86,6 +88,7 @@
 		queue:        admission.New(options.Queue, 1),
 		budget:       retry.NewBudget(options.ExtraShare, budgetSize),
 		book:         quarantine.NewBook(name),
+		barred:       make(chan struct{}),
 		leaving:      func(string) (uint64, bool) { return 0, false },
 	}
 }
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -26,8 +26,12 @@
 	// shard is the one on trial, or noTrial.
 	shard int
 	// held are the attempts that wait for the trial.
-	held   []heldAttempt
-	barred bool
+	held []heldAttempt
+	// probation tells that the content is barred and this query is its trial.
+	probation bool
+	barred    bool
+	// news is closed when some content is barred.
+	news <-chan struct{}
 }
 
 // heldAttempt is an attempt that waits for a trial.
@@ -41,27 +45,51 @@
 	return quarantine.Of(quarantine.Content{Host: ask.GetService(), Caller: ask.GetDesk(), Body: ask.GetQuery()})
 }
 
-// standing looks up what is known of a query. It returns a refusal where it is barred and no
-// trial of it is due. The lock is held.
-func (s *Service) standing(ask *callerpb.AskRequest, now time.Time) (suspect bool, refusal *callerpb.AskReply) {
+// standing looks up what is known of a query, and how it begins. It returns a refusal where its
+// content is barred and no trial of it is due. The lock is held.
+func (s *Service) standing(ask *callerpb.AskRequest, now time.Time) (trial, *callerpb.AskReply) {
+	t := trial{shard: noTrial, news: s.barred}
 	if s.book.Len() == 0 {
-		return false, nil
+		return t, nil
 	}
 	s.book.Expired(now) // Nothing is kept elsewhere that would have to be removed.
+	s.tell()
 	f := fingerprint(ask)
 	switch s.book.Standing(f) {
 	case quarantine.Clear:
-		return false, nil
+		return t, nil
 	case quarantine.Suspect:
-		return true, nil
+		t.Suspect()
+		return t, nil
 	}
 	if name, due := s.book.DueTrial(f, nil, now); due {
 		if claim, err := quarantine.ParseName(name); err == nil {
 			s.book.LearnClaim(claim, now)
-			return true, nil
+			t.Suspect()
+			t.probation = true
+			return t, nil
 		}
 	}
-	return false, NotRun(ask, callerpb.Reason_BARRED, s.barredText(f), quarantine.FirstProbation)
+	return t, NotRun(ask, callerpb.Reason_BARRED, s.barredText(f), quarantine.FirstProbation)
+}
+
+// tell wakes the queries under way where a content has been barred, for whatever reason: each
+// that goes on may end more leaves. The lock is held.
+func (s *Service) tell() {
+	for _, c := range s.book.Changes() {
+		if c.Now.Standing == quarantine.Barred {
+			close(s.barred)
+			s.barred = make(chan struct{})
+		}
+	}
+}
+
+// heardNews looks up whether the content of the query is what was barred. The lock is held.
+func (q *query) heardNews() {
+	q.trial.news = q.service.barred
+	if !q.trial.probation && q.service.book.Standing(fingerprint(q.ask)) == quarantine.Barred {
+		q.trial.barred = true
+	}
 }
 
 func (s *Service) barredText(f quarantine.Fingerprint) string {
@@ -132,6 +160,7 @@
 	seen.What = "query of desk " + q.ask.GetDesk()
 	f := fingerprint(q.ask)
 	q.service.book.Note(f, seen, now)
+	q.service.tell()
 	q.trial.barred = q.service.book.Standing(f) == quarantine.Barred
 }
 
@@ -139,6 +168,7 @@
 func (q *query) served(now time.Time) {
 	if q.trial.Served() {
 		q.service.book.Clear(fingerprint(q.ask), now)
+		q.service.tell()
 	}
 	q.trial.shard = noTrial
 }
