A trial begins when no other call of the query runs, and after those that ended together

Cause: a query under which one server ended is on trial; its next attempt went out as the trial at once, 35 ms after its arrival, while its other 19 calls ran. A server that ends among others is no evidence, so the trial counted for nothing, and two more were needed. The same where a trial starts right after the query was taken from its servers: its end comes too soon after theirs to count.

Ruled out: that repeats at other hosts took the third server (all three ends have the first query's identifier); that the stop came late (servers that have begun such a query end also where its call is cancelled).

Change: a trial waits until no call of the query runs, and 25 ms from the moment at which it is taken from its servers. Where the query is not to blame one of those calls brings a part, and what waits follows at once. The entry daemon had the same, and has the same mend.

--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -96,11 +96,14 @@
 }
 
 // launchTrial sends the query to one server alone, unless it is on trial already. An attempt
-// whose part is late gets a copy as any other.
+// whose part is late gets a copy as any other. A trial beside other calls of the query would not
+// be alone: the end of its server would tell nothing, and take from the others' callers what may
+// be the last server of a shard. Where the query is not to blame, those calls bring a part, and
+// the attempts that wait follow at once.
 func (q *query) launchTrial(ctx context.Context, now time.Time) {
 	t := &q.trial
 	t.held = t.held[:0]
-	running := t.shard >= 0 && q.state.Running(t.shard) > 0
+	running := q.running()
 	needs := q.state.Needs(now)
 	rand.Shuffle(len(needs), func(i, j int) { needs[i], needs[j] = needs[j], needs[i] })
 	for _, need := range needs {
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -108,13 +108,14 @@
 }
 
 // hold reports whether an attempt has to wait for a trial, and keeps it if so; otherwise it is
-// the trial, where there is to be one.
+// the trial, where there is to be one. None begins beside other attempts of the query: its end
+// would tell nothing, and cost the others of the service a leaf.
 func (q *query) hold(shard int, kind obs.Attempt, now time.Time) bool {
 	t := &q.trial
 	if !t.OnTrial() {
 		return false
 	}
-	if t.shard == noTrial && !now.Before(t.TrialFrom()) {
+	if t.shard == noTrial && len(q.running) == 0 && !now.Before(t.TrialFrom()) {
 		t.shard = shard
 		return false
 	}
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -89,6 +89,9 @@
 		s.lastEnd = now
 		stop = !s.stopped && s.served == 0 && s.seen.Ended >= stopAfter
 		s.stopped = s.stopped || stop
+		if stop {
+			s.trialFrom = now.Add(trialSettle) // Its end would not count before.
+		}
 		return stop, false
 	}
 	if now.Sub(s.lastEnd) < trialSettle {
