A test of copies of a query of which nothing came; known to be red

The relays' lines of the query show calls that began 30 to 35 ms after it came, at the other servers of shards that were silent still; the first end was seen at 41 ms, the learnt time after which a part is late was shorter. Beside it a test that passes before and after: where all calls are silent, copies go out all the same.

--- a/internal/gateway/deaths_test.go
+++ b/internal/gateway/deaths_test.go
@@ -417,3 +417,47 @@
 		assert.Check(w.t, float64(good) >= 0.95*float64(all), "%d of %d ordinary requests were served", good, all)
 	})
 }
+
+// Ordinary queries take 10 ms, so that copies go out soon after that. One under which servers end
+// after 30 to 55 ms had copies sent to all of its shards before the first end was seen: 27 to 39 of
+// 40 servers ended in its first attempt instead of 20, and most shards had none left. Its relays'
+// lines of calls began 35 ms after it came, at the other servers of shards that all were silent
+// still. A query of which no part has come has nothing that is late beside others.
+func TestQueryOfWhichNothingCameSendsNoCopies(t *testing.T) {
+	servers := serversOf(shardNames(20), "a1", "c1")
+	config := shardedConfig(1, 20)
+	config.Routes[0].Query.MinShare = 0.89
+	inWorld(t, config, servers, mortalHosts, func(w *world) {
+		m := newMortals(w, servers)
+		w.mixed(mortalNames, "", 0, 20, 5*time.Second)
+		m.doomed = true
+		m.work = func(s discovery.Server) time.Duration {
+			h := fnv.New32()
+			h.Write([]byte(s.ID))
+			return 30*time.Millisecond + time.Duration(h.Sum32()%26)*time.Millisecond
+		}
+		w.ask("host1", "/q/poison")
+		m.work = func(discovery.Server) time.Duration { return leafTime }
+		good, all := w.mixed(mortalNames, "/q/poison", 1, 20, 2*time.Second)
+		w.t.Logf("%d servers ended, %d of %d ordinary requests served", m.count(), good, all)
+		assert.Check(w.t, m.count() <= 22, "%d servers ended", m.count())
+		assert.Check(w.t, float64(good) >= 0.95*float64(all), "%d of %d ordinary requests were served", good, all)
+	})
+}
+
+// Where all calls of a query are silent, copies go out all the same: what it waits for may be
+// servers, or the way to them, that are gone.
+func TestQueryOfWhichNothingComesSendsCopiesLater(t *testing.T) {
+	servers := serversOf(shardNames(4), "a1", "c1")
+	inWorld(t, shardedConfig(1, 4), servers, mortalHosts, func(w *world) {
+		w.mixed(mortalNames, "", 0, 20, 5*time.Second)
+		for _, s := range servers {
+			if s.Domain == "a1" {
+				w.leafs.set(s.ID, silent)
+			}
+		}
+		a := w.ask("host1", "/q/ordinary")
+		assert.Equal(t, a.Outcome, Gathered)
+		assert.Equal(t, a.Gathered.Missing, 0)
+	})
+}
