A query of which no part has come sends no copies before the longest hedge delay

Cause: copies go out after a quantile of what ordinary calls take, about 30 ms there. The first end was seen at 41 ms; until then nothing told that the silent shards were not merely late.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,10 @@
 	var attempts []attempt
 	verdicts := q.decide(now)
 	for _, need := range q.state.Needs(now) {
+		if need.Hedge && q.holdsCopies(now) {
+			q.hold(need.Shard, q.copiesFrom())
+			continue
+		}
 		verdict := scarcity.Ask
 		if verdicts != nil && !need.Hedge {
 			verdict = verdicts[need.Shard]
@@ -47,6 +51,25 @@
 	q.sendAttempts(ctx, attempts, now)
 }
 
+// holdsCopies reports whether copies of late calls are held back, as no shard of the query has
+// answered yet: then none is late beside others, and what keeps them all may be the query itself.
+// It protects the second server of each shard from a query under which the first ones are about
+// to end. Copies go out in the end, as all calls may be silent for another reason.
+func (q *query) holdsCopies(now time.Time) bool {
+	return q.entry.Query != nil && !q.trial.WasServed() && now.Before(q.copiesFrom())
+}
+
+// copiesFrom is from when on copies are sent of a query that no shard has answered.
+func (q *query) copiesFrom() time.Time {
+	return q.request.Arrived.Add(q.longestHedgeDelay())
+}
+
+// hold puts a shard off until a server has served the query, or a time.
+func (q *query) hold(n int, until time.Time) {
+	q.trial.held = append(q.trial.held, n)
+	q.state.Later(n, until)
+}
+
 // sendAttempts makes attempts: directly, or by domain through a host there, if one can be had.
 func (q *query) sendAttempts(ctx context.Context, attempts []attempt, now time.Time) {
 	var direct []attempt
@@ -261,6 +284,10 @@
 }
 
 func (q *query) hedgeDelay(relayed bool) time.Duration {
-	fallback := time.Duration(hedgeCap * float64(q.objective))
-	return q.gateway.latency.delay(latencyKey{q.entry.Name, relayed}, fallback)
+	return q.gateway.latency.delay(latencyKey{q.entry.Name, relayed}, q.longestHedgeDelay())
+}
+
+// longestHedgeDelay is after what time a call is late whatever was observed.
+func (q *query) longestHedgeDelay() time.Duration {
+	return time.Duration(hedgeCap * float64(q.objective))
 }
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -44,7 +44,7 @@
 	// is the number of those on trial.
 	broken []quarantine.End
 	failed int
-	// held are the shards whose attempts wait for the trial.
+	// held are the shards whose attempts wait until a server has served the query.
 	held []int
 }
 
@@ -109,8 +109,7 @@
 	for _, need := range needs {
 		copyOfTrial := need.Hedge && need.Shard == t.shard
 		if running && !copyOfTrial || !running && need.Hedge || now.Before(t.TrialFrom()) {
-			t.held = append(t.held, need.Shard)
-			q.state.Later(need.Shard, now.Add(trialStep))
+			q.hold(need.Shard, now.Add(trialStep))
 			continue
 		}
 		a, ok := q.prepare(need, q.left(now), now)
