A test of the same content at a second host during the trial; known to be red

The first host had seen two ends 40 ms after the query came and told of them 150 ms later, when its trial was over; the same content came to a second host 70 ms after the first two ends, and went out to all shards.

--- a/internal/gateway/deaths_test.go
+++ b/internal/gateway/deaths_test.go
@@ -445,6 +445,36 @@
 	})
 }
 
+// The same content comes at two hosts 150 ms apart. The first host sees two servers end after 35 ms,
+// takes the query from the others and puts it on trial, which takes as long again and more, where
+// half of the servers are gone and the rest has a queue. It told the others only when the trial's
+// server had ended, so that the second host sent the query to all that the first had left: in the
+// log "server ended with a request" for the same fingerprint at both hosts, 34 to 39 times in all,
+// and no "standing" before.
+func TestSecondHostHearsBeforeTheTrialIsOver(t *testing.T) {
+	servers := serversOf(shardNames(20), "a1", "c1")
+	inWorld(t, shardedConfig(1, 20), servers, mortalHosts, func(w *world) {
+		m := newMortals(w, servers)
+		m.doomed = true
+		began := time.Now()
+		m.work = func(s discovery.Server) time.Duration {
+			if time.Since(began) > 50*time.Millisecond {
+				return 120 * time.Millisecond
+			}
+			h := fnv.New32()
+			h.Write([]byte(s.ID))
+			return 30*time.Millisecond + time.Duration(h.Sum32()%26)*time.Millisecond
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { w.ask("host1", "/q/poison") })
+		time.Sleep(150 * time.Millisecond)
+		w.ask("host4", "/q/poison")
+		wg.Wait()
+		w.t.Logf("%d servers ended", m.count())
+		assert.Check(w.t, m.count() <= 20+4, "%d servers ended", m.count())
+	})
+}
+
 // Where all calls of a query are silent, copies go out all the same: what it waits for may be
 // servers, or the way to them, that are gone.
 func TestQueryOfWhichNothingComesSendsCopiesLater(t *testing.T) {
