All hosts are told of a query when it is taken from its servers, not when its trial is over

Cause: what a host sees was told with the first end on trial. The trial takes as long as the queue at its server, 115 ms where half of the servers were gone; the repeat came to a second host 70 ms after the first had seen two ends, and went out to every shard there. Ruled out: that the news is slow by itself (others have it 50 ms after it is written).

Change: a query that two servers ended under and none served is told when it is taken from the others. It makes the request suspect at all hosts, which is what this host holds it for itself: it goes to one server first there. Nothing is barred by it, as that needs two ends on trial as before. The entry daemon does the same with its own book.

TestSecondHostHearsBeforeTheTrialIsOver, unchanged: 40 of 40 servers ended in 5 of 5 runs before, at most 24 in 5 of 5 since. Requests that are innocent beside ends of servers (TestServersThatEndByThemselvesBarNobody, 4 runs, 14 cases each): none barred, served within the spread of before.

--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -142,6 +142,7 @@
 	stop, told := q.trial.Ended(end, now)
 	if stop {
 		q.stopCalls()
+		q.tellEnds(now) // A repeat at another host may come before the trial is over.
 	}
 	if told {
 		q.trial.Wait(rand.N(quarantine.TrialSpread))
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -145,6 +145,7 @@
 		for _, other := range q.running {
 			other.cancel()
 		}
+		q.tellEnds(now) // A repeat may come before the trial is over.
 	}
 	if told {
 		q.trial.Wait(time.Duration(q.service.rng.Int64N(int64(quarantine.TrialSpread))))
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -77,7 +77,8 @@
 func (s *Suspicion) WasServed() bool { return s.served > 0 }
 
 // Ended notes that a server ended under the query. stop tells that the query is to be taken
-// from the servers that still run it, told that all hosts are to hear of it now.
+// from the servers that still run it, and all hosts are to suspect it; told that one on trial
+// ended, of which all hosts are to hear now.
 func (s *Suspicion) Ended(e End, now time.Time) (stop, told bool) {
 	s.seen.Ended++
 	s.seen.At = now.UnixMilli()
