What lacks servers at whose addresses nothing listens is refused at once

Cause: a refused connection was a failure like any other, known to the one attempt that met it. Two servers of a shard cannot both be ejected, so each query asked both anew, some 100 times a second. Ruled out: admission (it let in, with an expected wait of 8 ms) and the store (the entries of the servers lapse when new ones are there already).

Change: a server at whose address nothing listens is absent until it answers; it is asked again after 50 ms, later each 250 ms, by one request (replica/absent.go). A relay that knows says so without a dial, and the host that asked learns it. Where too few shards are left for an answer the query is refused before anything is sent, with a Retry-After of as long as the servers have been gone, 0.5 to 2 s. A query that comes when they are to be asked again asks them first and no other server, so that its refusal is true too; the others of its shards follow with the first answer. Queries that were under way when the servers ended wait on, as some are served late. Another place with the same blindness: after a refusal a shard was put off only if as many servers had been tried as there are, which an absent one that is left out would have kept from happening.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -73,6 +73,8 @@
 	CodeRefused Code = "refused"
 	// CodeUnreachable: servers could not be connected to.
 	CodeUnreachable Code = "unreachable"
+	// CodeAbsent: nothing listens at the addresses of all servers of too many shards.
+	CodeAbsent Code = "absent"
 	// CodeServerFailed: servers failed or broke off.
 	CodeServerFailed Code = "server_failed"
 	// CodeSlow: no server answered in time.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,8 +34,12 @@
 			q.hold(need.Shard, q.copiesFrom())
 			continue
 		}
+		if q.doubt.holds(need.Shard) && now.Before(q.copiesFrom()) {
+			q.hold(need.Shard, q.copiesFrom())
+			continue
+		}
 		verdict := scarcity.Ask
-		if verdicts != nil && !need.Hedge {
+		if verdicts != nil && !need.Hedge && !q.doubt.open[need.Shard] {
 			verdict = verdicts[need.Shard]
 		}
 		if verdict == scarcity.LeaveOut {
@@ -255,7 +259,11 @@
 	}
 	var late *tooLateError
 	var cold *coldError
+	var absent *absentError
 	switch {
+	case errors.As(err, &absent):
+		q.code = CodeAbsent
+		q.state.Later(need.Shard, now.Add(max(absent.wait, slotRetry)))
 	case errors.As(err, &cold):
 		q.code = CodeBusy
 		q.state.Later(need.Shard, now.Add(cold.wait))
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -66,7 +66,9 @@
 	// Arrived tells that the server refused it; otherwise it was not sent.
 	Arrived bool
 	// Moved tells that the address now belongs to another server.
-	Moved  bool
+	Moved bool
+	// Absent tells of a request that was not sent that nothing listens at the address.
+	Absent bool
 	Reason string
 	// Load is what the server told of itself when it refused.
 	Load Load
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -48,12 +48,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	away := g.outside(w.homes)
-	exclude := away | g.mask(w.tried)
+	if !g.set.Reachable(away) {
+		return nil, errNoServer
+	}
+	absent := g.set.AbsentMask(now)
+	if !g.set.Reachable(away | absent) {
+		return nil, &absentError{wait: g.set.NextLook(away, now)}
+	}
+	exclude := away | absent | g.mask(w.tried)
 	if !g.set.Reachable(exclude) {
-		if w.hedge || !g.set.Reachable(away) {
+		if w.hedge {
 			return nil, errNoServer
 		}
-		exclude = away
+		exclude = away | absent
 	}
 	cold := g.cold(now) &^ exclude
 	i := g.choose(w, away, exclude|cold, now)
@@ -104,6 +111,9 @@
 		return nil, errNoServer
 	}
 	b = g.members[i]
+	if g.set.AbsentMask(now)&(1<<i) != 0 {
+		return nil, &absentError{wait: g.set.NextLook(^uint64(1<<i), now)}
+	}
 	if wait, late := g.set.TooLate(i, due, now); late {
 		return nil, &tooLateError{wait: wait}
 	}
@@ -185,6 +195,14 @@
 	return len(g.members) - bits.OnesCount64(g.outside(homes))
 }
 
+// hasOther reports whether a server that was not tried may be asked now, of those that may see a
+// request with homes.
+func (g *group) hasOther(tried []string, homes route.Homes, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.set.Reachable(g.outside(homes) | g.mask(tried) | g.set.AbsentMask(now))
+}
+
 // callEnd is what became of a call.
 type callEnd struct {
 	result callResult
@@ -193,6 +211,8 @@
 	// atServer is the time of the call seen from the host that made it.
 	atServer time.Duration
 	load     Load
+	// absent tells that nothing listens at the server's address.
+	absent bool
 }
 
 // end gives the slot back and notes what became of the call. It returns how long
@@ -216,6 +236,9 @@
 	if e.load.Known {
 		ran = g.set.Queued(i, e.load.Waiting, e.atServer, now)
 	}
+	if e.absent {
+		g.set.Absent(i, now)
+	}
 	switch e.result {
 	case callServed:
 		g.set.Answered(i, e.elapsed, now)
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -96,6 +96,8 @@
 	reply *Reply
 	// trial is what the query does about servers that end under it.
 	trial trial
+	// doubt is what the query does about shards whose servers were absent.
+	doubt doubt
 	// failure is the last reason for which an attempt failed, code its kind.
 	failure string
 	code    Code
@@ -121,7 +123,9 @@
 	// unreachable tells of a call that was not sent that the server could not be reached,
 	// wait of one that would have come too late how long those before it take.
 	unreachable bool
-	wait        time.Duration
+	// absent tells of one that was not sent that nothing listens at the server's address.
+	absent bool
+	wait   time.Duration
 	// load is what the server told of its load, ran how long the request ran there
 	// without its wait; 0 is unknown.
 	load Load
@@ -144,6 +148,9 @@
 		if q.trial.barred {
 			return q.barredAnswer()
 		}
+		if q.doubt.hopeless() && !q.offered() {
+			return q.absentAnswer(now)
+		}
 		if q.trialFailed() {
 			return Answer{Outcome: Failed, Code: CodeServerFailed, Reason: "servers broke off when they were sent the request alone, after others had ended under it"}
 		}
@@ -238,6 +245,7 @@
 func (q *query) take(e event) {
 	block := fanout.Block{Records: e.records, Floor: e.floor}
 	for _, r := range e.results {
+		q.settleDoubt(r)
 		q.arrived = q.arrived || r.outcome != relaypb.Outcome_NOT_SENT
 		switch r.outcome {
 		case relaypb.Outcome_PART:
@@ -279,7 +287,7 @@
 		q.state.Refused(r.shard)
 		q.refusals++
 	}
-	if len(q.tried[r.shard]) >= q.groups[r.shard].size(q.entry.Homes) {
+	if !q.groups[r.shard].hasOther(q.tried[r.shard], q.entry.Homes, now) {
 		q.lookAgain(r.shard, r.wait, now)
 	}
 	for _, n := range q.leftOut {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -173,7 +173,7 @@
 	result := &relaypb.CallResult{
 		Index: uint32(one.index), Outcome: r.outcome, Signature: r.signature,
 		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
-		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, ServerEnded: r.ended, BrokeOff: r.brokeOff, Barred: r.barred, WaitUs: uint64(r.wait.Microseconds()),
+		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, ServerEnded: r.ended, BrokeOff: r.brokeOff, Barred: r.barred, Absent: r.absent, WaitUs: uint64(r.wait.Microseconds()),
 	}
 	if w.whole && r.reply != nil {
 		result.Reply = encodeReply(r.reply)
@@ -243,7 +243,10 @@
 		out := result{outcome: relaypb.Outcome_NOT_SENT, reason: err.Error()}
 		var late *tooLateError
 		var cold *coldError
+		var absent *absentError
 		switch {
+		case errors.As(err, &absent):
+			out.absent, out.unreachable = true, true
 		case errors.As(err, &late):
 			out.wait = late.wait
 		case errors.As(err, &cold):
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,7 +59,7 @@
 		out.ended = g.edges.Leafs.Ended(ctx, c.backend.Server)
 		out.brokeOff = !out.ended && !timedOut(err)
 	}
-	ran, ejected := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load}, now)
+	ran, ejected := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load, absent: out.absent || out.ended}, now)
 	out.ran = ran
 	if ejected {
 		g.logEjected(c.backend, out.reason)
@@ -156,7 +156,7 @@
 	if cut {
 		return callCut
 	}
-	out.unreachable = true
+	out.unreachable, out.absent = true, refused.Absent
 	return callFailed
 }
 
@@ -277,7 +277,7 @@
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
 		ended: r.GetServerEnded(), brokeOff: r.GetBrokeOff(), barred: r.GetBarred(),
-		unreachable: r.GetUnreachable(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
+		unreachable: r.GetUnreachable(), absent: r.GetAbsent(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
 	}
 	if reply := r.GetReply(); reply != nil {
 		out.reply = decodeReply(reply, r.GetSignature())
@@ -296,7 +296,7 @@
 	}
 	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
 	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
-	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load}, now)
+	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load, absent: out.absent || out.ended}, now)
 	out.ran = ran
 	if ejected {
 		rc.query.gateway.logEjected(a.call.backend, out.reason)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -121,6 +121,9 @@
 	if p.outOfReach() {
 		return notRun(CodeCutOff, "this host is cut off from the store and from all hosts of other failure domains, and its own lacks servers", p.retryAfter())
 	}
+	if p.lacksServers(time.Now()) {
+		return p.absentAnswer(time.Now())
+	}
 	if refused, ok := p.admit(time.Now()); !ok {
 		return refused
 	}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -128,6 +128,13 @@
 	if q.trial.Served() {
 		q.gateway.guard.Clear(q.fingerprint(), now)
 	}
+	if len(q.doubt.open) == 0 {
+		q.releaseHeld(now)
+	}
+}
+
+// releaseHeld lets the shards that were held be asked at once.
+func (q *query) releaseHeld(now time.Time) {
 	for _, n := range q.trial.held {
 		q.state.Later(n, now)
 	}
--- /dev/null
+++ b/replica/absent_test.go
@@ -0,0 +1,40 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/replica"
+)
+
+// A replica at whose address nothing listens is asked again later each time, by one request at a
+// time, and is as any other once it has answered.
+func TestAbsentReplicaIsAskedAgainByOne(t *testing.T) {
+	s := newSet(2, 2, replica.Observed)
+	ms := time.Millisecond
+	s.Absent(0, start)
+	assert.Equal(t, s.AbsentMask(start.Add(49*ms)), uint64(1))
+	assert.Equal(t, s.AbsentMask(start.Add(50*ms)), uint64(0))
+	found, _ := s.Presence(0, start)
+	assert.Equal(t, found, replica.Present, "the other one")
+	found, _ = s.Presence(2, start)
+	assert.Equal(t, found, replica.AllAbsent)
+	found, since := s.Presence(2, start.Add(50*ms))
+	assert.Equal(t, found, replica.Doubtful)
+	assert.Equal(t, since, start)
+
+	s.Acquire(0, start.Add(50*ms))
+	assert.Equal(t, s.AbsentMask(start.Add(51*ms)), uint64(1), "it is being asked")
+	s.Leaves[0].Slots.Release()
+	s.Absent(0, start.Add(51*ms))
+	assert.Equal(t, s.AbsentMask(start.Add(150*ms)), uint64(1), "longer the second time")
+	for range 20 {
+		s.Absent(0, start)
+	}
+	assert.Equal(t, s.NextLook(2, start), 250*ms)
+	answer(s, 0, ms, start.Add(time.Second))
+	found, _ = s.Presence(2, start.Add(time.Second))
+	assert.Equal(t, found, replica.Present)
+}
--- a/replica/observe.go
+++ b/replica/observe.go
@@ -39,12 +39,14 @@
 	if leaf.Slots.InUse() == 0 {
 		leaf.progress = now
 	}
+	leaf.askedAgain(now)
 	return leaf.Slots.Acquire(now)
 }
 
 // Answered notes an answer after latency.
 func (s *Set) Answered(i int, latency time.Duration, now time.Time) {
 	leaf := s.Leaves[i]
+	leaf.present()
 	leaf.progress = now
 	leaf.answered = now
 	leaf.observed = now
@@ -60,6 +62,7 @@
 // Refused notes that a replica refused a request because it was full.
 func (s *Set) Refused(i int, now time.Time) {
 	leaf := s.Leaves[i]
+	leaf.present()
 	leaf.lost += smoothing * (1 - leaf.lost)
 	leaf.Slots.Shed(now)
 }
@@ -89,6 +92,7 @@
 	leaf := s.Leaves[i]
 	leaf.latency = 0
 	leaf.lost = 0
+	leaf.present()
 	leaf.failures = 0
 	leaf.cuts = 0
 	leaf.ejections = 0
--- a/replica/set.go
+++ b/replica/set.go
@@ -65,6 +65,10 @@
 	// answered is when the leaf last answered, observed when anything was last
 	// observed of it.
 	answered, observed time.Time
+	// absences is the number of connections in a row that the leaf's address refused, since
+	// absentSince; it is not asked again before absentUntil.
+	absences                 int
+	absentSince, absentUntil time.Time
 	// queue is the number of requests that waited at the leaf when it last told, at
 	// queueAt; queueGap is the smoothed gap between two reports.
 	queue    int
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -128,6 +128,10 @@
 TestBarThatBeginsWithTimeIsNews@internal/guard/guard.go@s/g.tell\("time"\)/g.known.Store(int64(g.book.Len()))/@a bar that begins with time is told to nobody
 TestBarThatBeginsAsAnotherEndsIsNews@quarantine/standing.go@s/\n\tb.settleExplained\([a-z.]+\)//g@a bar that begins as another ends is told to nobody
 TestQueryUnderWayEndsWhenItsContentIsBarred@internal/home/query.go@s/q.heardNews\(\)/q.trial.news = nil/@queries under way hear of no bar
+TestTrialsLeaveShardsEnoughToServeOthers@internal/gateway/trial.go@s/running := q.running\(\)/running := t.shard >= 0 && q.state.Running(t.shard) > 0/@a trial begins beside other calls
+TestQueryOfWhichNothingCameSendsNoCopies@internal/gateway/attempt.go@s/need.Hedge && q.holdsCopies\(now\)/false/@copies go out before any shard has answered
+TestSecondHostHearsBeforeTheTrialIsOver@internal/gateway/trial.go@s/q.tellEnds\(now\) \/\/ A repeat.*//@others hear when the trial is over
+TestQueryThatLacksServersIsRefusedAtOnce@internal/gateway/serve.go@s/p.lacksServers\(time.Now\(\)\)/false/@queries wait for servers that are gone
 TestStanding@quarantine/standing.go@s/LeastTrials = 2/LeastTrials = 1/@one end on trial is enough
 LIST
 exit $survived
