--- a/internal/gateway/deaths_test.go
+++ b/internal/gateway/deaths_test.go
@@ -491,3 +491,57 @@
 		assert.Equal(t, a.Gathered.Missing, 0)
 	})
 }
+
+// A host that has heard of a request from another one puts it on a trial of its own while the
+// other's is under way: the news is there, the verdict is not. Each of these trials cost one more
+// shard its last server, for nothing: in the log a server ended on trial at a second host 40 ms
+// after the request was barred at the first, and three shards of 20 were lost instead of two.
+func TestHostThatWasToldLeavesTheTrialToTheOther(t *testing.T) {
+	servers := serversOf(shardNames(20), "a1", "c1")
+	inWorld(t, shardedConfig(1, 20), servers, mortalHosts, func(w *world) {
+		m := newMortals(w, servers)
+		m.doomed = true
+		began := time.Now()
+		m.work = func(discovery.Server) time.Duration {
+			if time.Since(began) > 50*time.Millisecond {
+				return 70 * time.Millisecond
+			}
+			return 30 * time.Millisecond
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { w.ask("host1", "/q/poison") })
+		time.Sleep(100 * time.Millisecond)
+		for _, host := range mortalNames[1:] {
+			wg.Go(func() { w.ask(host, "/q/poison") })
+		}
+		wg.Wait()
+		assert.Check(w.t, m.count() <= 22, "%d servers ended", m.count())
+	})
+}
+
+// One that is innocent is not held up for long by it: the host that told of it has it served, and
+// the others hear that.
+func TestInnocentRequestIsFreeAsSoonAsItIsServed(t *testing.T) {
+	servers := serversOf(shardNames(6), "a1", "c1")
+	inWorld(t, shardedConfig(1, 6), servers, mortalHosts, func(w *world) {
+		m := newMortals(w, servers)
+		go w.ask("host1", "/q/popular")
+		time.Sleep(leafTime / 2)
+		for _, s := range servers {
+			if s.Domain == "a1" {
+				m.end(s, "", time.Second)
+			}
+		}
+		var slowest time.Duration
+		for range 10 {
+			time.Sleep(20 * time.Millisecond)
+			for _, host := range mortalNames {
+				began := time.Now()
+				assert.Equal(t, w.ask(host, "/q/popular").Outcome, Gathered)
+				slowest = max(slowest, time.Since(began))
+			}
+		}
+		w.t.Logf("slowest after %v", slowest)
+		assert.Check(w.t, slowest <= 200*time.Millisecond, "%v", slowest)
+	})
+}
