A host that was told of a request leaves its trial to the host that told

Cause: the word that a request is suspect reaches the other hosts 50 ms after it is told, the verdict only after two trials, 0.3 s later; a host that has the word but no verdict began trials of its own. Ruled out: that the first host needs three trials (two ended on trial there, and it was barred).

Change: a query of a suspect waits for the verdict, for half a second from the last word on it, before it goes on trial itself; if the request is served meanwhile it is free at once, if it is barred the news ends it. It is not refused for having waited. The entry daemon's queries do the same.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,7 +23,7 @@
 
 // launch makes the attempts that are due.
 func (q *query) launch(ctx context.Context, now time.Time) {
-	if q.trial.OnTrial() {
+	if q.trial.OnTrial() && !q.absolved() {
 		q.launchTrial(ctx, now)
 		return
 	}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -70,19 +70,36 @@
 		return Answer{}, true
 	case quarantine.Suspect:
 		q.trace.fingerprint = f.String()
-		q.trial.Suspect()
+		q.awaitVerdict(guard.VerdictBy(f))
 		return Answer{}, true
 	}
 	name, due := guard.DueTrial(f, versions(q.groups), time.Now())
 	if due && q.gateway.control.Claim(ctx, name) {
 		trialsBegun.Inc()
-		q.trial.Suspect()
+		q.trial.Suspect(time.Time{})
 		q.trial.probation = true
 		return Answer{}, true
 	}
 	return q.barredAnswer(), false
 }
 
+// awaitVerdict lets a suspect wait until another query has had its trial, or a time. It has not been
+// offered to a server meanwhile, and is not refused for that.
+func (q *query) awaitVerdict(by time.Time) {
+	q.trial.Suspect(by)
+	if by.After(q.offerBy) {
+		q.offerBy = by.Add(q.longestHedgeDelay())
+	}
+}
+
+// absolved reports whether the request was served elsewhere while the query waited for its trial.
+func (q *query) absolved() bool {
+	if q.trial.shard < 0 && !q.trial.probation && !q.offered() && q.gateway.guard.Standing(q.fingerprint()) == quarantine.Clear {
+		q.trial.Absolve()
+	}
+	return !q.trial.OnTrial()
+}
+
 // barredAnswer refuses a request that is barred, or ends it where servers have had it.
 func (q *query) barredAnswer() Answer {
 	known := q.gateway.guard.Refused(q.fingerprint())
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -73,6 +73,13 @@
 	return g.book.Standing(f)
 }
 
+// VerdictBy returns until when another query may have a suspect on trial.
+func (g *Guard) VerdictBy(f quarantine.Fingerprint) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.VerdictBy(f)
+}
+
 // Refused counts that a barred request is turned away, and returns what is known of it.
 func (g *Guard) Refused(f quarantine.Fingerprint) quarantine.Summary {
 	quarantineRefused.Inc()
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -14,6 +14,8 @@
 	// witnessTimeout bounds the question that tells whether a leaf ended with a query: the way
 	// to another failure domain and back many times.
 	witnessTimeout = 100 * time.Millisecond
+	// verdictStep is how often a query that waits for its trial looks whether it is needed yet.
+	verdictStep = 20 * time.Millisecond
 	// noTrial is the shard on trial where none is.
 	noTrial = -1
 )
@@ -59,13 +61,13 @@
 	case quarantine.Clear:
 		return t, nil
 	case quarantine.Suspect:
-		t.Suspect()
+		t.Suspect(s.book.VerdictBy(f))
 		return t, nil
 	}
 	if name, due := s.book.DueTrial(f, nil, now); due {
 		if claim, err := quarantine.ParseName(name); err == nil {
 			s.book.LearnClaim(claim, now)
-			t.Suspect()
+			t.Suspect(time.Time{})
 			t.probation = true
 			return t, nil
 		}
@@ -112,7 +114,7 @@
 // would tell nothing, and cost the others of the service a leaf.
 func (q *query) hold(shard int, kind obs.Attempt, now time.Time) bool {
 	t := &q.trial
-	if !t.OnTrial() {
+	if !t.OnTrial() || q.absolved() {
 		return false
 	}
 	if t.shard == noTrial && len(q.running) == 0 && !now.Before(t.TrialFrom()) {
@@ -121,11 +123,20 @@
 	}
 	t.held = append(t.held, heldAttempt{shard, kind})
 	if now.Before(t.TrialFrom()) {
-		q.look(t.TrialFrom())
+		q.look(now.Add(verdictStep))
 	}
 	return true
 }
 
+// absolved reports whether the content was served to another query while this one waited for its
+// trial.
+func (q *query) absolved() bool {
+	if q.reached == 0 && !q.trial.probation && q.service.book.Standing(fingerprint(q.ask)) == quarantine.Clear {
+		q.trial.Absolve()
+	}
+	return !q.trial.OnTrial()
+}
+
 // releaseHeld sends the attempts that no longer have to wait: all where the query is not on
 // trial, else the next one where none is.
 func (q *query) releaseHeld(now time.Time) {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -25,6 +25,9 @@
 	// some, and none of them is alone on its trial: without this 2 of 51 seeds of the soak
 	// barred one that runs once only, beside others that ended the three servers of its service.
 	servedLife = 30 * time.Second
+	// verdictTime is for how long a host that has told of a request may have it on trial: two
+	// calls at servers with queues, and the way of the news.
+	verdictTime = 500 * time.Millisecond
 	// barLife is for how long a bar counts.
 	barLife = 24 * time.Hour
 	// MaxCases bounds the requests of a Book. Each takes 2.7 KB here where two hosts saw twelve
@@ -69,12 +72,22 @@
 		return
 	}
 	c.records[host] = r.bounded()
+	c.told = now
 	if r.Served {
 		c.served = now
 	}
 	b.reconsider(f, now)
 }
 
+// VerdictBy returns until when another query may have a suspect on trial. A trial of its own beside
+// that one would tell nothing sooner, and may cost a server.
+func (b *Book) VerdictBy(f Fingerprint) time.Time {
+	if c := b.cases[f]; c != nil {
+		return c.told.Add(verdictTime)
+	}
+	return time.Time{}
+}
+
 // LearnClaim takes in that a trial was claimed.
 func (b *Book) LearnClaim(n Name, now time.Time) { b.caseOf(n.Fingerprint, now).claims[n.Claim] = true }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -185,7 +185,7 @@
 // fewer than served it.
 func TestSuspicionEndsWhereAServerServes(t *testing.T) {
 	var s Suspicion
-	s.Suspect()
+	s.Suspect(time.Time{})
 	assert.Assert(t, s.OnTrial())
 	s.Ended(End{Server: "a"}, day)
 	assert.Assert(t, s.Served() && !s.Served(), "the first clears")
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -69,6 +69,8 @@
 	// since is from when on something was known here, barredSince from when on it was barred;
 	// zero where it is not.
 	since, barredSince time.Time
+	// told is when a record was last heard of.
+	told time.Time
 	// served is when it was heard that a server served it; zero after servedLife.
 	served time.Time
 	// total sums the records up, with the standing that follows from them alone.
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -53,8 +53,12 @@
 	stopped            bool
 }
 
-// Suspect notes that servers ended under the same request before: the query begins on trial.
-func (s *Suspicion) Suspect() { s.suspected = true }
+// Suspect notes that servers ended under the same request before: the query begins on trial, or
+// once another one has been tried.
+func (s *Suspicion) Suspect(verdictBy time.Time) { s.suspected, s.trialFrom = true, verdictBy }
+
+// Absolve notes that a server has served the same request since.
+func (s *Suspicion) Absolve() { s.suspected = false }
 
 // OnTrial reports whether the query is to be sent to one server at a time.
 func (s *Suspicion) OnTrial() bool { return s.served == 0 && s.suspected || s.seen.Ended > s.served }
