Comments say what a value is for, not how it was found; the cause of a query that awaited a trial

A query whose time is over while it awaits the trial of another one has a cause of its own in its line, as it had none: suspect.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -41,9 +41,7 @@
 
 // announcer keeps entries of hosts in the store under a lease: that of this host where
 // it follows nobody, and those of the hosts that follow it. So the store's calls grow
-// with the regions and not with the hosts: with an entry and a lease a host, 195
-// hosts made 3,874 calls on a day with an outage and a restart of all, 2,849 since, counted
-// by the store.
+// with the regions and not with the hosts.
 type announcer struct {
 	name     string
 	strength float64
--- a/internal/control/callers.go
+++ b/internal/control/callers.go
@@ -13,9 +13,8 @@
 // chooser chooses the hosts that call a server with fewer connections than there are
 // hosts: always the same for a server as long as they are there, as many of each failure
 // domain. It is made anew when hosts come or go, and works out a choice when it is asked
-// for the first time: to do so for each of 405 servers at each change of any entry doubled
-// the processor time of 62 hosts (0.018 to 0.036 of a core in the mean, on a day with a
-// quarter of the servers slow). It is safe for concurrent use.
+// for the first time, as to do so for each server at each change of any entry would double
+// the processor time of a host. It is safe for concurrent use.
 type chooser struct {
 	hosts   map[string][]Host
 	members map[string][]rendezvous.Member
--- a/internal/control/tally.go
+++ b/internal/control/tally.go
@@ -8,8 +8,7 @@
 
 const (
 	// tallyEvery is the least time between two lines about entries that were taken
-	// in. A line for each entry on each host was 250,000 lines on a day with an
-	// outage and a restart of all of 195 hosts, 57,000 of them in one second.
+	// in: a restart of all hosts takes in every entry at each of them.
 	tallyEvery = time.Second
 	// detailsPerSecond bounds the lines about single entries of one process: enough
 	// for the servers of a domain that change in the time of one request.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -159,9 +159,6 @@
 // part is divided by the hosts that call it: the relays of its domain for a shard. Any other
 // server is called by every host where each can have a connection, and by a choice of them,
 // spread over the failure domains, where they are too many.
-//
-// One connection for each host was 195 to servers that accept 120: 872 connections were reset
-// on a day, counted by the servers, and 549 requests met a reset, counted in the logs.
 func (v *View) Share(s discovery.Server, relaysPerDomain int) Share {
 	if v.Table == nil {
 		return Share{Conns: defaultConns, Hosts: 1}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -81,6 +81,8 @@
 	CodeSlow Code = "slow"
 	// CodeBarred: servers end under the request.
 	CodeBarred Code = "barred"
+	// CodeSuspect: servers ended under the request, and the trial of another query was awaited.
+	CodeSuspect Code = "suspect"
 	// CodeCallerLeft: the caller closed its connection.
 	CodeCallerLeft Code = "caller_left"
 )
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -29,7 +29,7 @@
 	leftOutFor = 50 * time.Millisecond
 	// lookStep and lateLookStep are the steps, from the arrival of a query, at which it looks
 	// again for places that it did not get, before and after it is due: together, so that
-	// one message asks for all of a failure domain. What they save was not measured alone.
+	// one message asks for all of a failure domain.
 	lookStep     = 20 * time.Millisecond
 	lateLookStep = 100 * time.Millisecond
 	// maxRefusals bounds the attempts of one shard that servers refused.
@@ -40,12 +40,10 @@
 	// share of the objective.
 	softCap = 0.2
 	// singleProbeEvery is how often one host sends an avoided server a request
-	// that is not a query. Nothing covers such a request: with a few hosts and
-	// one second, a quarter of the requests went to slow servers.
+	// that is not a query, and has no other server to make up for a slow one.
 	singleProbeEvery = 8 * time.Second
 	// probingHosts is the number of hosts that may each probe at the full rate:
-	// about those of a small site. More hosts share that rate, because each has
-	// fewer queries: at 60 hosts every query went to a slow server.
+	// more share that rate, as each has fewer queries to probe with.
 	probingHosts = 6
 	// lingerTime is for how long calls whose answer came too late may still
 	// run, so that their connections can be used again.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,9 +27,7 @@
 	refusalGap = time.Millisecond
 	// relaySlotTries is how often a relay looks for a slot, each slotRetry, before it
 	// says that the server is busy: for less time than the way to another region and
-	// back, after which the other host would ask again. It bought 0.004 of the worth
-	// of days with slow servers (8 pairs, none worse by more than 0.002), 0.02 where
-	// three times the callers came at the same time.
+	// back, after which the other host would ask again.
 	relaySlotTries = 4
 )
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -19,8 +19,7 @@
 }
 
 // serverLinesPerSecond bounds the lines of one process about servers that are slow,
-// failed or moved. 195 hosts wrote 5,121 of them on a day on which 68 of 432 servers were
-// slow or crashed for eight seconds.
+// failed or moved.
 const serverLinesPerSecond = 10
 
 func newRequestLog(log zerolog.Logger, perSecond int) *requestLog {
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -88,6 +88,7 @@
 func (q *query) awaitVerdict(by time.Time) {
 	q.trial.Suspect(by)
 	if by.After(q.offerBy) {
+		q.code, q.failure = CodeSuspect, "servers ended under this request; what becomes of its trial is awaited"
 		q.offerBy = by.Add(q.longestHedgeDelay())
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -19,8 +19,7 @@
 const (
 	// linesPerSecond bounds the lines of one process about requests under which
 	// servers ended. They have a bound of their own: an outage that such a request causes
-	// writes 2,000 lines a second of calls that could not be made, of which the common bound
-	// lets 70 through.
+	// fills the common one with calls that could not be made.
 	linesPerSecond = 20
 	// SweepEvery is how often records are to be looked at whose time may be over.
 	SweepEvery = 10 * time.Second
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -22,16 +22,15 @@
 	// servedLife is for how long a request that a server served is not barred, whatever ends
 	// under it: the time of an outage of servers for other reasons. Many attempts of a request
 	// that many callers repeat are under way at once, so that each end of a server is seen by
-	// some, and none of them is alone on its trial: without this 2 of 51 seeds of the soak
-	// barred one that runs once only, beside others that ended the three servers of its service.
+	// some, and none of them is alone on its trial.
 	servedLife = 30 * time.Second
 	// verdictTime is for how long a host that has told of a request may have it on trial: two
 	// calls at servers with queues, and the way of the news.
 	verdictTime = 500 * time.Millisecond
 	// barLife is for how long a bar counts.
 	barLife = 24 * time.Hour
-	// MaxCases bounds the requests of a Book. Each takes 2.7 KB here where two hosts saw twelve
-	// servers end, and a key of the store for each host that saw it.
+	// MaxCases bounds the requests of a Book. Each takes a few kilobytes here, and a key of the
+	// store for each host that saw it.
 	MaxCases = 512
 )
 
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -5,19 +5,17 @@
 const (
 	// trialSettle is for how long no server may have ended under a query, but on trial, for
 	// the end of one on trial to count: those that end together, as with a failure domain, are
-	// noticed within a few milliseconds, however long they work. A second trial waits for that
-	// time, so that the first one holds nobody up.
+	// noticed within a few milliseconds, however long they work. A trial waits for that time where
+	// the query was taken from its servers, and after another trial; elsewhere it holds nobody up.
 	trialSettle = 25 * time.Millisecond
 	// TrialSpread is the longest wait, drawn at random, before a second trial, beside a shard
-	// drawn at random: requests that lost the same servers met on trial again, and one that had
-	// ended none was barred (the soak, 1 seed of 10). Where work takes longer than this, they
-	// are told apart by the shard, and by which of them ended more servers.
+	// drawn at random: requests that lost the same servers would meet on trial again, and one that
+	// ended none be barred. Where work takes longer than this, they are told apart by the shard,
+	// and by which of them ended more servers.
 	TrialSpread = 100 * time.Millisecond
 	// stopAfter is the number of servers that end under a query that none has served after
 	// which it is taken from those that run it: one may be chance, and two before any has
-	// served are not, where fewer than half of all are lost. Of 40 servers of 20 shards, which
-	// run a request for 5 to 50 ms, a query ended 22 in its first attempt without this, and 4
-	// to 6 with it (fake time, 17 runs).
+	// served are not, where fewer than half of all are lost.
 	stopAfter = 2
 )
 
@@ -36,11 +34,9 @@
 // the others follow at once; if it ends too, all hosts are to be told. The zero value knows
 // nothing. It is not safe for concurrent use.
 //
-// It protects the other callers of a service. In fake time, with 60 repeats in 24 s of a query
-// that ends each server beside 240 ordinary ones over 12 shards, 252 to 288 servers ended and
-// 43 to 57 ordinary queries were served without it, 13 to 15 and 240 with it. Counting the servers
-// alone ends 12, but refused 1,199 of 2,400 requests that ran beside such a query and had
-// nothing to do with it, and 320 of 800 where all servers had been lost; on trial none was.
+// It protects the other callers of a service, whose servers would end with each repeat, and
+// requests that lost servers by chance: to bar by the number of ends alone refuses those that ran
+// beside such a query, or when all servers were lost, though they had nothing to do with it.
 type Suspicion struct {
 	// suspected tells that servers ended under the same request before.
 	suspected bool
--- a/replica/set.go
+++ b/replica/set.go
@@ -16,9 +16,7 @@
 	ProbeEvery = time.Second
 	// lossCalls is what a refusal or a failure costs, in calls to the fastest replica:
 	// the time until it is known, another attempt, and what that takes from the budget
-	// for extra ones. As a fixed time that suits calls of 25 ms (150 ms) it cost 0.06 of
-	// the worth of a day with refusing servers and calls of 10 ms; at 50 ms it lost 0.02
-	// of one with calls of 25 ms on which half of the servers lose answers.
+	// for extra ones. All of these grow with the time of a call.
 	lossCalls = 6
 	// slowFloor is the latency below which no replica counts as slow.
 	slowFloor = time.Millisecond
@@ -124,10 +122,9 @@
 
 // worthWaiting reports whether another replica, busy now, is expected to
 // answer sooner than the free replica would. One that is free is not waited for: it was not
-// chosen for what it costs. Where such a one counted, a replica in the own region that was
-// once observed to be slow and a fast one far off made a shard seem busy until something
-// was heard of the slow one, which nobody asked: 19 in 100 of the parts that queries lacked
-// on a day with slow servers.
+// chosen for what it costs. Else a replica in the own region that was once observed to be slow
+// and a fast one far off would make a shard seem busy until something was heard of the slow
+// one, which nobody asks.
 func (s *Set) worthWaiting(free int, now time.Time, waiting int, exclude uint64) bool {
 	latency := s.Expected(free, now)
 	if latency <= slowFloor {
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -9,8 +9,7 @@
 	// queueHalfLife is the time after which half of a queue that a leaf told of is
 	// taken to be gone. Where a host calls the leaf more rarely it is as many times
 	// the usual gap between two reports as halfLifeGaps says, so that the queue is not
-	// forgotten between them: on 62 hosts with six times the callers 3,686 of 6,421
-	// requests were in time, 1,386 with a fixed half life, counted from the callers.
+	// forgotten between them.
 	queueHalfLife = 150 * time.Millisecond
 	halfLifeGaps  = 2
 	// gapSmoothing is the weight of a new sample of that gap, longestGap the longest
@@ -137,11 +136,8 @@
 // all others: the leaf must run nothing for this host.
 //
 // Without it a shard whose only server is slow has a full queue, and everyone's part comes
-// late: with 5 of 87 shards like that, of which an answer needs one, 1 of 137 queries was
-// in time, counted from the callers, though each of these servers had room for 12 a second
-// (2 slots, 162 ms) and 30 came that needed one of the five. It is for slow leaves only: at others it took 9 in 100 of the answers in
-// time from short requests at three times the callers, as the time of a request there is
-// not known well enough.
+// late, though it has room for some. It is for slow leaves only: at others the time of a request
+// is not known well enough, so that short requests would be put off that could be in time.
 func (s *Set) TooLate(i int, due Due, now time.Time) (wait time.Duration, late bool) {
 	run := s.runTime(i, now)
 	if run <= time.Duration(slowPart*float64(due.Objective)) {
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -15,9 +15,7 @@
 	// come in time whatever the others take.
 	leastPart = 0.25
 	// mostInTurn is the number of scarce shards that a query needs up to which it asks no
-	// more than it needs. One that needs more runs out of time while it asks them in turn:
-	// in the model of TestShareOfTheBestPossible, with 4 of 8 needed and knowledge three
-	// seconds old, 0.25 of the queries were in time that way, 0.34 with all asked at once.
+	// more than it needs. One that needs more runs out of time while it asks them in turn.
 	mostInTurn = 3
 )
 
