Tests of beliefs that change with the time and are told wrongly or not at all; known to be red

After a suspension in which neither the store nor a peer answers, the doubt ends after a second, and the line says that what is known is confirmed. That a server is absent, and that it is back, has no line.

--- a/internal/gateway/absent_test.go
+++ b/internal/gateway/absent_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -101,3 +104,27 @@
 		assert.Equal(t, w.ask("host1", "/once/x").Outcome, Forwarded)
 	})
 }
+
+// The log tells when nothing listens at the address of a server any more, and when it answers
+// again: once each, however often it is asked in between.
+func TestLogTellsOfAbsentServersOnce(t *testing.T) {
+	var log bytes.Buffer
+	file := settingsOf(t, oneHost[0])
+	inWorld(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), nil, func(w *world) {
+		w.log = zerolog.New(zerolog.SyncWriter(&log))
+		w.start(file)
+		time.Sleep(time.Second)
+		w.leafs.set("single", gone)
+		for range 20 {
+			w.ask("host1", "/one/x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.leafs.set("single", nil)
+		time.Sleep(300 * time.Millisecond)
+		for range 20 {
+			assert.Equal(w.t, w.ask("host1", "/one/x").Outcome, Forwarded)
+		}
+	})
+	assert.Equal(t, strings.Count(log.String(), `"server":"single@a1","service":"single","message":"nothing listens at the address of a server`), 1, log.String())
+	assert.Equal(t, strings.Count(log.String(), `"message":"a server that was absent answers again"`), 1, log.String())
+}
--- a/internal/gateway/suspend_test.go
+++ b/internal/gateway/suspend_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/internal/control/fakestore"
@@ -108,3 +111,23 @@
 		synctest.Wait()
 	})
 }
+
+// Nobody answers a host that wakes, and after a second it uses what it knows. The log said "what is
+// known is confirmed" then, which nobody had done: the end of that time was written as the word of
+// the store. An engineer on call who finds old servers in use there would look elsewhere.
+func TestLogDoesNotCallConfirmedWhatNobodyConfirmed(t *testing.T) {
+	var log bytes.Buffer
+	file := settingsOf(t, oneHost[0])
+	inWorld(t, shardedConfig(1, 2), serversOf(shardNames(2), "a1"), nil, func(w *world) {
+		w.log = zerolog.New(zerolog.SyncWriter(&log))
+		w.start(file)
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		time.Sleep(time.Second)
+		w.suspend("host1", 5*time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(w.t, w.hosts["host1"].Ready())
+	})
+	assert.Equal(t, strings.Count(log.String(), "what is known is confirmed"), 0)
+	assert.Equal(t, strings.Count(log.String(), "nobody has confirmed what is known"), 1)
+}
