The log does not call confirmed what nobody has confirmed

What an engineer saw: a host that woke while the store and all peers were silent said "what is known is confirmed" after a second, and served by what it had known before its sleep.

Cause: the end of the doubt by time went through the function that takes in the word of the store. Ruled out: that something had answered (the test has the store down and no peer). Change: the time ends the doubt with a line of its own. TestLogDoesNotCallConfirmedWhatNobodyConfirmed, unchanged: failed each time, passes; the doubt ends at the same moment as before.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -155,7 +155,7 @@
 	}
 	s.tally.serversGone += len(gone)
 	if now.Sub(s.doubted) >= doubtLimit {
-		s.assure(now)
+		s.endDoubt("nobody has confirmed what is known in time: it is used as it is", now)
 	}
 	s.tell(now)
 	if len(gone) > 0 || lapsed {
--- a/internal/control/wake.go
+++ b/internal/control/wake.go
@@ -85,11 +85,14 @@
 }
 
 // assure notes that the store, or a host that reads it, was heard after the machine woke.
-func (s *state) assure(now time.Time) {
+func (s *state) assure(now time.Time) { s.endDoubt("what is known is confirmed", now) }
+
+// endDoubt lets what is known count again, for the reason given.
+func (s *state) endDoubt(why string, now time.Time) {
 	if s.doubted.IsZero() {
 		return
 	}
-	s.log.Info().Dur("doubted", now.Sub(s.doubted)).Uint64("revision", s.revision).Msg("what is known is confirmed")
+	s.log.Info().Dur("doubted", now.Sub(s.doubted)).Uint64("revision", s.revision).Msg(why)
 	s.doubted = time.Time{}
 	s.publish(now)
 }
