The log tells of servers that are absent, and of those that are back

What an engineer missed: a host left servers out, and refused queries for it, on a belief that began with a refused connection and ended with an answer, and wrote neither down.

Change: the end of a call returns what it changed in what is believed of its server; a line tells of each absence and each return, once, and a counter counts absences.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,9 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 )
 
+// serversAbsent counts servers at whose addresses nothing listened any more.
+var serversAbsent = metrics.GetOrCreateCounter("mallowgap_servers_absent_total")
+
 func countAnswer(route string, a Answer) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_requests_total{route=%q,outcome=%q,cause=%q}", route, a.Outcome, a.Code)).Inc()
 }
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -215,9 +215,17 @@
 	absent bool
 }
 
-// end gives the slot back and notes what became of the call. It returns how long
-// the request ran, where that is known, and whether the server was ejected.
-func (c *call) end(e callEnd, now time.Time) (ran time.Duration, ejected bool) {
+// learned is what the end of a call changed in what is believed of its server.
+type learned struct {
+	// ran is how long the request ran there; 0 is unknown.
+	ran time.Duration
+	// ejected tells that the server failed too often, absent that nothing listens at its
+	// address any more, back that it answers again.
+	ejected, absent, back bool
+}
+
+// end gives the slot back and notes what became of the call.
+func (c *call) end(e callEnd, now time.Time) (news learned) {
 	g := c.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -228,13 +236,14 @@
 	c.release()
 	i := g.index(leaf)
 	if i == replica.None {
-		return 0, false
+		return learned{}
 	}
+	wasAbsent := g.set.IsAbsent(i)
 	if e.load.Slowness > 0 {
 		g.set.Slowed(i, e.load.Slowness, now)
 	}
 	if e.load.Known {
-		ran = g.set.Queued(i, e.load.Waiting, e.atServer, now)
+		news.ran = g.set.Queued(i, e.load.Waiting, e.atServer, now)
 	}
 	if e.absent {
 		g.set.Absent(i, now)
@@ -247,9 +256,11 @@
 	case callCut:
 		g.set.CutShort(i, e.elapsed, now)
 	case callFailed:
-		ejected = g.set.Failed(i, now)
+		news.ejected = g.set.Failed(i, now)
 	}
-	return ran, ejected
+	isAbsent := g.set.IsAbsent(i)
+	news.absent, news.back = isAbsent && !wasAbsent, wasAbsent && !isAbsent
+	return news
 }
 
 // drop gives the slot back of a call that was not made.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,11 +59,9 @@
 		out.ended = g.edges.Leafs.Ended(ctx, c.backend.Server)
 		out.brokeOff = !out.ended && !timedOut(err)
 	}
-	ran, ejected := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load, absent: out.absent || out.ended}, now)
-	out.ran = ran
-	if ejected {
-		g.logEjected(c.backend, out.reason)
-	}
+	news := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, elapsed), load: out.load, absent: out.absent || out.ended}, now)
+	out.ran = news.ran
+	g.logLearned(c.backend, news, out.reason)
 	if out.load.Unreadable != "" {
 		g.logUnreadable(c.backend, out.load.Unreadable)
 	}
@@ -74,8 +72,18 @@
 	return out
 }
 
-func (g *Gateway) logEjected(b *backend, reason string) {
-	g.requests.servers.Info().Str("server", b.ID).Str("service", b.Service).Str("reason", reason).Msg("server ejected after failures in a row")
+// logLearned says what a call has changed in what is believed of its server.
+func (g *Gateway) logLearned(b *backend, news learned, reason string) {
+	if news.ejected {
+		g.requests.servers.Info().Str("server", b.ID).Str("service", b.Service).Str("reason", reason).Msg("server ejected after failures in a row")
+	}
+	if news.absent {
+		serversAbsent.Inc()
+		g.requests.servers.Info().Str("reason", reason).Str("server", b.ID).Str("service", b.Service).Msg("nothing listens at the address of a server: it is asked rarely until it answers")
+	}
+	if news.back {
+		g.requests.servers.Info().Str("server", b.ID).Str("service", b.Service).Msg("a server that was absent answers again")
+	}
 }
 
 // logUnreadable says, once for each server, that its load reports cannot be read.
@@ -296,11 +304,9 @@
 	}
 	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
 	out.load = Load{Known: evidence == callServed || evidence == callShed, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
-	ran, ejected := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load, absent: out.absent || out.ended}, now)
-	out.ran = ran
-	if ejected {
-		rc.query.gateway.logEjected(a.call.backend, out.reason)
-	}
+	news := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: workTime(out, atServer), load: out.load, absent: out.absent || out.ended}, now)
+	out.ran = news.ran
+	rc.query.gateway.logLearned(a.call.backend, news, out.reason)
 	if evidence == callServed {
 		name := rc.query.entry.Name
 		rc.query.gateway.latency.observe(latencyKey{name, true}, elapsed)
--- a/replica/absent.go
+++ b/replica/absent.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// IsAbsent reports whether nothing listened at a replica's address when it was last asked.
+func (s *Set) IsAbsent(i int) bool { return s.Leaves[i].absences > 0 }
+
 // AbsentMask is the set of replicas at whose addresses nothing listened when they were last asked,
 // and that are not to be asked again yet.
 func (s *Set) AbsentMask(now time.Time) uint64 {
