--- a/internal/gateway/deaths_test.go
+++ b/internal/gateway/deaths_test.go
@@ -545,3 +545,25 @@
 		assert.Check(w.t, slowest <= 200*time.Millisecond, "%v", slowest)
 	})
 }
+
+// While the store is away hosts cannot tell each other through it: each finds out for itself, at the
+// cost of the servers that the others had left, and after 22 ends at the first host 16 more follow
+// at the second one. The lines show "server ended with a request" for one fingerprint at host after
+// host, and "standing" with one host each in "seen_by". The relays of the first host's calls had
+// seen the same ends, and were asked by the second one.
+func TestHostsWithoutTheStoreDoNotEachFindOut(t *testing.T) {
+	servers := serversOf(shardNames(20), "a1", "c1")
+	inWorld(t, shardedConfig(1, 20), servers, mortalHosts, func(w *world) {
+		m := newMortals(w, servers)
+		m.doomed = true
+		m.down = 20 * time.Second
+		m.work = func(discovery.Server) time.Duration { return 30 * time.Millisecond }
+		w.store.SetDown(true)
+		time.Sleep(time.Second)
+		for _, host := range mortalNames {
+			w.ask(host, "/q/poison")
+			time.Sleep(time.Second)
+		}
+		assert.Check(w.t, m.count() <= 20+4, "%d servers ended", m.count())
+	})
+}
