Hosts tell the relays themselves of a request under which servers end while the store is away

Cause: hosts hear of such a request through the store alone. Without it each host finds out for itself, with the servers that the others have left.

Change: what a host would write to the store it hands to the relays of all failure domains as well while the store is away, by a call of the relay protocol, with the bounds of the writes. Every query passes through some relay. The loop of the writes serves both ways; peers' words are taken in as entries of the store are, a fault in one contained.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,8 +48,11 @@
 	state    *state
 	announce *announcer
 	records  *recorder
-	packer   entryPacker
-	rereads  *metrics.Counter
+	// word tells peers what records write, while the store is away.
+	word            *recorder
+	relaysPerDomain int
+	packer          entryPacker
+	rereads         *metrics.Counter
 	// suspended tells for how long the machine has been suspended; awake has a value when it
 	// has woken.
 	suspended func() time.Duration
@@ -93,7 +96,10 @@
 	}
 	c.state.cold = config.Cold
 	c.announce = newAnnouncer(c, config.Settings.GetLease().AsDuration())
-	c.records = newRecorder(config.Store, config.Log, func() int { return c.View().Count })
+	c.relaysPerDomain = config.RelaysPerDomain
+	count := func() int { return c.View().Count }
+	c.records = newRecorder(c.writeRecords, config.Log, count)
+	c.word = newRecorder(c.tellPeers, config.Log, count)
 	return c
 }
 
@@ -113,6 +119,7 @@
 	c.duty(func() { c.probePeers(ctx) })
 	c.duty(func() { c.announce.run(announceCtx) })
 	c.duty(func() { c.records.run(ctx) })
+	c.duty(func() { c.word.run(ctx) })
 	c.duty(func() { c.watchClock(ctx) })
 }
 
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -36,7 +36,8 @@
 // which all other hosts learn it as they learn of servers. Entries stand without a lease: a
 // host that sees servers end may be gone a moment later.
 type recorder struct {
-	store Store
+	// write hands on what is to be kept and what removed; after an error it is tried again.
+	write func(ctx context.Context, puts map[string][]byte, remove []string) error
 	log   zerolog.Logger
 	hosts func() int
 	wake  chan struct{}
@@ -46,8 +47,8 @@
 	removes map[string]bool
 }
 
-func newRecorder(store Store, log zerolog.Logger, hosts func() int) *recorder {
-	return &recorder{store: store, log: log, hosts: hosts, wake: make(chan struct{}, 1), puts: map[string][]byte{}, removes: map[string]bool{}}
+func newRecorder(write func(ctx context.Context, puts map[string][]byte, remove []string) error, log zerolog.Logger, hosts func() int) *recorder {
+	return &recorder{write: write, log: log, hosts: hosts, wake: make(chan struct{}, 1), puts: map[string][]byte{}, removes: map[string]bool{}}
 }
 
 func (r *recorder) put(name string, value []byte) {
@@ -103,13 +104,14 @@
 	return puts, remove, len(r.puts)+len(r.removes) > 0
 }
 
-func (r *recorder) write(ctx context.Context, puts map[string][]byte, remove []string) error {
+// writeRecords writes records to the store.
+func (c *Control) writeRecords(ctx context.Context, puts map[string][]byte, remove []string) error {
 	if len(puts)+len(remove) == 0 {
 		return nil
 	}
-	revision, err := r.store.Write(ctx, relaypb.EntryKind_QUARANTINE, 0, puts, remove)
+	revision, err := c.store.Write(ctx, relaypb.EntryKind_QUARANTINE, 0, puts, remove)
 	if err == nil {
-		r.log.Info().Int("records", len(puts)).Int("removed", len(remove)).Uint64("revision", revision).Msg("records of requests in quarantine written")
+		c.log.Info().Int("records", len(puts)).Int("removed", len(remove)).Uint64("revision", revision).Msg("records of requests in quarantine written")
 	}
 	return err
 }
@@ -133,10 +135,22 @@
 
 // PutRecord lets the store keep what this host saw of a request under which servers ended.
 // It does not block.
-func (c *Control) PutRecord(name string, value []byte) { c.records.put(name, value) }
+func (c *Control) PutRecord(name string, value []byte) {
+	c.records.put(name, value)
+	if c.storeAway() {
+		c.word.put(name, value)
+	}
+}
 
 // RemoveRecords lets the store forget such records. It does not block.
-func (c *Control) RemoveRecords(names []string) { c.records.remove(names) }
+func (c *Control) RemoveRecords(names []string) {
+	c.records.remove(names)
+	if c.storeAway() {
+		c.word.remove(names)
+	}
+}
+
+func (c *Control) storeAway() bool { return !c.View().StoreLost.IsZero() }
 
 // Claim reports whether this host is the only one that may do what the name stands for. It
 // takes claimTimeout at the most.
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -72,6 +72,7 @@
 type Peers interface {
 	State(ctx context.Context, address string, request *relaypb.StateRequest) (*relaypb.StateReply, error)
 	Follow(ctx context.Context, address string, request *relaypb.FollowRequest, received func(*relaypb.FollowReply)) error
+	Tell(ctx context.Context, address string, request *relaypb.TellRequest) error
 	// Forget closes the idle connections to a gateway.
 	Forget(address string)
 }
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -164,6 +164,14 @@
 	return m.State(ctx, r)
 }
 
+func (p *peers) Tell(ctx context.Context, address string, r *relaypb.TellRequest) error {
+	m, err := p.find(address)
+	if err == nil {
+		m.Tell(ctx, r)
+	}
+	return err
+}
+
 func (p *peers) Follow(ctx context.Context, address string, r *relaypb.FollowRequest, received func(*relaypb.FollowReply)) error {
 	m, err := p.find(address)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,15 @@
 	return reply, err
 }
 
+// Tell implements the relay protocol.
+func (g *Gateway) Tell(ctx context.Context, m *relaypb.TellRequest) (reply *relaypb.TellReply, err error) {
+	err = g.contain("the word of a peer", "", func() error {
+		reply = g.control.Tell(ctx, m)
+		return nil
+	})
+	return reply, err
+}
+
 // Follow implements the relay protocol.
 func (g *Gateway) Follow(m *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
 	return g.contain("a peer that follows", "", func() error { return g.control.Follow(m, stream) })
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -344,6 +344,16 @@
 	return g.State(ctx, m)
 }
 
+func (p *fakePeers) Tell(ctx context.Context, address string, m *relaypb.TellRequest) error {
+	g, cut := p.find(address)
+	if g == nil || cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	_, err := g.Tell(ctx, m)
+	return err
+}
+
 func (p *fakePeers) Follow(ctx context.Context, address string, m *relaypb.FollowRequest, received func(*relaypb.FollowReply)) error {
 	g, cut := p.find(address)
 	if g == nil || cut {
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -52,6 +52,14 @@
 	})
 }
 
+// Tell hands a peer entries that the store does not take now.
+func (c *DRPC) Tell(ctx context.Context, address string, request *relaypb.TellRequest) error {
+	return c.with(ctx, address, func(conn drpc.Conn) error {
+		_, err := relaypb.NewDRPCRelayClient(conn).Tell(ctx, request)
+		return err
+	})
+}
+
 // State asks a peer for what it knows of the platform.
 func (c *DRPC) State(ctx context.Context, address string, request *relaypb.StateRequest) (reply *relaypb.StateReply, err error) {
 	err = c.with(ctx, address, func(conn drpc.Conn) (err error) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -132,6 +132,8 @@
 TestQueryOfWhichNothingCameSendsNoCopies@internal/gateway/attempt.go@s/need.Hedge && q.holdsCopies\(now\)/false/@copies go out before any shard has answered
 TestSecondHostHearsBeforeTheTrialIsOver@internal/gateway/trial.go@s/q.tellEnds\(now\) \/\/ A repeat.*//@others hear when the trial is over
 TestQueryThatLacksServersIsRefusedAtOnce@internal/gateway/serve.go@s/p.lacksServers\(time.Now\(\)\)/false/@queries wait for servers that are gone
+TestHostsWithoutTheStoreDoNotEachFindOut@internal/control/records.go@s/if c.storeAway\(\) \{\n\t\tc.word.put/if false {\n\t\tc.word.put/@peers are not told while the store is away
+TestHostThatWasToldLeavesTheTrialToTheOther@internal/gateway/trial.go@s/q.awaitVerdict\(guard.VerdictBy\(f\)\)/q.trial.Suspect(time.Time{})/@a host that was told begins trials of its own
 TestStanding@quarantine/standing.go@s/LeastTrials = 2/LeastTrials = 1/@one end on trial is enough
 LIST
 exit $survived
