A suspect awaits a verdict for a third of its time at the most, a single request not at all

What callers saw: an ordinary request that runs once only, and that all callers repeat, was refused after its time was over, while other requests ended the servers of its service.

Cause: each word on a suspect renews the half second in which a query leaves the trial to another. Where servers end for other reasons words on an innocent request follow each other, and one with little time waits for all of it. For a single request the wait buys nothing: it goes to one server at a time as it is. Ruled out: that it was barred (the cause in its line is suspect).

Change: a query waits for a third of its time at the most, in the gateway and in the entry daemon; single requests do not wait.

--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -19,6 +19,9 @@
 	// mostTrials is the number of trials of one query that may fail without it being known that
 	// the server ended: a lost answer is no reason to give up, three in a row on trial are.
 	mostTrials = 3
+	// verdictPart is the part of its time, one in so many, for which a query awaits the verdict of
+	// another's trial: the rest is enough for a trial of its own and for the answer.
+	verdictPart = 3
 	// barredRetryAfter is when a caller whose request is barred may come back: before the
 	// first probation is over nothing changes but by hand.
 	barredRetryAfter = quarantine.FirstProbation
@@ -83,9 +86,19 @@
 	return q.barredAnswer(), false
 }
 
-// awaitVerdict lets a suspect wait until another query has had its trial, or a time. It has not been
-// offered to a server meanwhile, and is not refused for that.
+// awaitVerdict lets a suspect wait until another query has had its trial, or a time, but for no more
+// of its own time than it can spare: words on an innocent one may follow each other. It has not been
+// offered to a server meanwhile, and is not refused for that. A single request does not wait, as it
+// goes to one server at a time in any case.
 func (q *query) awaitVerdict(by time.Time) {
+	if q.entry.Query == nil {
+		q.trial.Suspect(time.Time{})
+		return
+	}
+	latest := q.request.Arrived.Add(q.end.Sub(q.request.Arrived) / verdictPart)
+	if latest.Before(by) {
+		by = latest
+	}
 	q.trial.Suspect(by)
 	if by.After(q.offerBy) {
 		q.code, q.failure = CodeSuspect, "servers ended under this request; what becomes of its trial is awaited"
--- a/internal/home/serve.go
+++ b/internal/home/serve.go
@@ -17,7 +17,7 @@
 func (s *Service) Serve(ctx context.Context, ask *callerpb.AskRequest, rank uint32) *callerpb.AskReply {
 	deadline := keepMargin(ctx, time.Now())
 	s.mu.Lock()
-	begin, barred := s.standing(ask, time.Now())
+	begin, barred := s.standing(ask, deadline, time.Now())
 	s.mu.Unlock()
 	if barred != nil {
 		return barred
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -16,6 +16,9 @@
 	witnessTimeout = 100 * time.Millisecond
 	// verdictStep is how often a query that waits for its trial looks whether it is needed yet.
 	verdictStep = 20 * time.Millisecond
+	// verdictPart is the part of its time, one in so many, for which a query awaits the verdict of
+	// another's trial: the rest is enough for a trial of its own and for the answer.
+	verdictPart = 3
 	// noTrial is the shard on trial where none is.
 	noTrial = -1
 )
@@ -49,7 +52,7 @@
 
 // standing looks up what is known of a query, and how it begins. It returns a refusal where its
 // content is barred and no trial of it is due. The lock is held.
-func (s *Service) standing(ask *callerpb.AskRequest, now time.Time) (trial, *callerpb.AskReply) {
+func (s *Service) standing(ask *callerpb.AskRequest, deadline, now time.Time) (trial, *callerpb.AskReply) {
 	t := trial{shard: noTrial, news: s.barred}
 	if s.book.Len() == 0 {
 		return t, nil
@@ -61,7 +64,11 @@
 	case quarantine.Clear:
 		return t, nil
 	case quarantine.Suspect:
-		t.Suspect(s.book.VerdictBy(f))
+		by, latest := s.book.VerdictBy(f), now.Add(deadline.Sub(now)/verdictPart)
+		if latest.Before(by) {
+			by = latest
+		}
+		t.Suspect(by)
 		return t, nil
 	}
 	if name, due := s.book.DueTrial(f, nil, now); due {
