One bound on the wait for a verdict, one encoding of entries, no map for each query

The bound on how long a suspect awaits a verdict stood in the gateway and in the entry daemon: both call quarantine.AwaitVerdict. What is told to relays is encoded by the function that encodes entries for peers elsewhere. The look at absent servers made a map for each query that comes, and makes one now only where a shard is in doubt.

--- a/internal/control/tell.go
+++ b/internal/control/tell.go
@@ -18,16 +18,17 @@
 // left from a request under which servers end, where the others cannot read of it. A host that
 // cannot be reached learns it when the store is back.
 func (c *Control) tellPeers(ctx context.Context, puts map[string][]byte, remove []string) error {
-	request := &relaypb.TellRequest{}
+	var entries []Entry
 	for _, name := range slices.Sorted(maps.Keys(puts)) {
-		request.Entries = append(request.Entries, &relaypb.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: name, Value: puts[name]})
+		entries = append(entries, Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: name, Value: puts[name]})
 	}
 	for _, name := range remove {
-		request.Entries = append(request.Entries, &relaypb.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: name, Removed: true})
+		entries = append(entries, Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: name, Removed: true})
 	}
-	if len(request.Entries) == 0 {
+	if len(entries) == 0 {
 		return nil
 	}
+	request := &relaypb.TellRequest{Entries: encodeEntries(entries)}
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	var told sync.WaitGroup
--- a/internal/gateway/absent.go
+++ b/internal/gateway/absent.go
@@ -67,12 +67,15 @@
 // lacksServers reports whether nothing listens at the servers of so many shards that the query
 // cannot be answered now. It notes which are to be asked first, where that may have changed.
 func (q *query) lacksServers(now time.Time) bool {
-	present, open := 0, map[int]bool{}
+	present, open := 0, map[int]bool(nil)
 	for n, g := range q.groups {
 		switch found, _ := g.presence(q.entry.Homes, now); found {
 		case replica.Present:
 			present++
 		case replica.Doubtful:
+			if open == nil {
+				open = map[int]bool{} // Not for each of the many queries that lack nothing.
+			}
 			open[n] = true
 		}
 	}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -19,9 +19,6 @@
 	// mostTrials is the number of trials of one query that may fail without it being known that
 	// the server ended: a lost answer is no reason to give up, three in a row on trial are.
 	mostTrials = 3
-	// verdictPart is the part of its time, one in so many, for which a query awaits the verdict of
-	// another's trial: the rest is enough for a trial of its own and for the answer.
-	verdictPart = 3
 	// barredRetryAfter is when a caller whose request is barred may come back: before the
 	// first probation is over nothing changes but by hand.
 	barredRetryAfter = quarantine.FirstProbation
@@ -95,10 +92,7 @@
 		q.trial.Suspect(time.Time{})
 		return
 	}
-	latest := q.request.Arrived.Add(q.end.Sub(q.request.Arrived) / verdictPart)
-	if latest.Before(by) {
-		by = latest
-	}
+	by = quarantine.AwaitVerdict(by, q.request.Arrived, q.end)
 	q.trial.Suspect(by)
 	if by.After(q.offerBy) {
 		q.code, q.failure = CodeSuspect, "servers ended under this request; what becomes of its trial is awaited"
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -16,9 +16,6 @@
 	witnessTimeout = 100 * time.Millisecond
 	// verdictStep is how often a query that waits for its trial looks whether it is needed yet.
 	verdictStep = 20 * time.Millisecond
-	// verdictPart is the part of its time, one in so many, for which a query awaits the verdict of
-	// another's trial: the rest is enough for a trial of its own and for the answer.
-	verdictPart = 3
 	// noTrial is the shard on trial where none is.
 	noTrial = -1
 )
@@ -64,11 +61,7 @@
 	case quarantine.Clear:
 		return t, nil
 	case quarantine.Suspect:
-		by, latest := s.book.VerdictBy(f), now.Add(deadline.Sub(now)/verdictPart)
-		if latest.Before(by) {
-			by = latest
-		}
-		t.Suspect(by)
+		t.Suspect(quarantine.AwaitVerdict(s.book.VerdictBy(f), now, deadline))
 		return t, nil
 	}
 	if name, due := s.book.DueTrial(f, nil, now); due {
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -17,6 +17,9 @@
 	// which it is taken from those that run it: one may be chance, and two before any has
 	// served are not, where fewer than half of all are lost.
 	stopAfter = 2
+	// verdictPart is the part of its time, one in so many, for which a query awaits the verdict of
+	// another's trial: the rest is enough for a trial of its own and for the answer.
+	verdictPart = 3
 )
 
 // End is the end of a server under a query.
@@ -53,6 +56,16 @@
 // once another one has been tried.
 func (s *Suspicion) Suspect(verdictBy time.Time) { s.suspected, s.trialFrom = true, verdictBy }
 
+// AwaitVerdict returns until when a query that came at a time and ends at another is to leave the
+// trial of a suspect to others: words on one that is innocent may follow each other, so that it
+// waits for a part of its time at the most.
+func AwaitVerdict(verdictBy, came, end time.Time) time.Time {
+	if latest := came.Add(end.Sub(came) / verdictPart); latest.Before(verdictBy) {
+		return latest
+	}
+	return verdictBy
+}
+
 // Absolve notes that a server has served the same request since.
 func (s *Suspicion) Absolve() { s.suspected = false }
 
