--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -31,6 +31,7 @@
 	"listen.front": "10.1.0.9:8104", "listen.ready": "10.1.0.9:8108", "listen.control": "10.1.0.9:8106", "ip": "10.1.0.9", "port_range.0": "7380",
 	"platform.addr": "10.200.1.7:8102", "seed_addrs": "10.1.0.9:8106,10.2.0.21:8106",
 	"rule_params.cold_excess": "1.5", "rule_params.cold_slack": "5",
+	"rule_params.quota_window_s": "5", "rule_params.quota_excess": "0.1", "rule_params.quota_slack": "20",
 	"rule_params.retry_ratio": "0.2", "rule_params.retry_slack": "54", "rule_params.retry_window_s": "10",
 }
 
@@ -69,8 +70,11 @@
 	assert.Equal(t, file.GetRetry().GetWindow().AsDuration(), 10*time.Second)
 	assert.Equal(t, file.GetShutdown().GetBalancerLag().AsDuration(), 3*time.Second)
 	assert.Assert(t, file.GetCold().GetExcess() == 1.5 && file.GetCold().GetSlack() == 5)
-	file, err = loadGateway(t, renderTemplate(t, "rule_params.cold_excess", "rule_params.cold_slack"))
-	assert.NilError(t, err, "without values for the limits of cold servers")
+	quota := file.GetQuota()
+	assert.Assert(t, quota.GetWindow().AsDuration() == 5*time.Second && quota.GetExcess() == 0.1 && quota.GetSlack() == 20)
+	file, err = loadGateway(t, renderTemplate(t, "rule_params.cold_excess", "rule_params.cold_slack", "rule_params.quota_window_s", "rule_params.quota_excess", "rule_params.quota_slack"))
+	assert.NilError(t, err, "without values for the limits of cold servers and of tenants")
+	assert.Assert(t, file.GetQuota().GetExcess() == 0 && file.GetQuota().GetSlack() == 0)
 	assert.Assert(t, file.GetCold().GetExcess() == 1 && file.GetCold().GetSlack() == 0)
 }
 
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,111 @@
+// Package quota holds the request limits of tenants over all hosts.
+//
+// One host, the coordinator, has a Ledger with a token bucket for each tenant; every host
+// has a Meter. While a tenant is far below its limit, hosts admit its requests at once and
+// report them afterwards. When the bucket runs low, the ledger declares the tenant metered:
+// hosts then ask for an allowance before they admit a request.
+//
+// Invariants:
+//   - In any window, the requests admitted by all hosts stay within
+//     (PerSecond x window + Burst) x (1 + Excess) + Slack, whichever hosts or links fail.
+//   - While all hosts are connected to one ledger, PerSecond x window + Burst holds, apart from the
+//     requests admitted while the news that the tenant is metered is under way.
+//   - A ledger grants the fraction of the limit that corresponds to the hosts it hears, so that two
+//     ledgers together grant no more than one.
+package quota
+
+import "time"
+
+// Limit is the request limit of a tenant over all hosts: a token bucket.
+type Limit struct {
+	// PerSecond is the refill rate in requests per second; 0 means no limit.
+	PerSecond float64
+	// Burst is the depth of the bucket in requests.
+	Burst float64
+	// Invalid is set if the configured limit is out of range; no request is admitted then.
+	Invalid bool
+}
+
+// Limited reports whether there is a limit.
+func (l Limit) Limited() bool { return l.PerSecond > 0 || l.Invalid }
+
+// Bound is by how much a limit may be exceeded at moments when the hosts cannot agree.
+type Bound struct {
+	// Window is the span of time over which requests are counted.
+	Window time.Duration
+	// Excess is a share of what the limit allows in a window, Slack a number of requests.
+	Excess, Slack float64
+}
+
+// Count is a number of requests that a host admitted for a tenant some time ago. It is negative
+// if admitted requests were not run.
+type Count struct {
+	Tenant   string
+	Requests int
+	Age      time.Duration
+}
+
+// Ask asks a ledger for allowances.
+type Ask struct {
+	Tenant   string
+	Requests int
+	// Patience is how long a refused caller is willing to wait before it returns.
+	Patience time.Duration
+	// Returning is set if the caller returns after a refusal.
+	Returning bool
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Granted int
+	// RetryAfter is when to come back if not all was granted. If it is within the caller's patience, an allowance is kept
+	// for the caller at that time.
+	RetryAfter time.Duration
+}
+
+// Action is what a host does with a request.
+type Action int
+
+const (
+	// Admit: the request may run; it was counted.
+	Admit Action = iota
+	// AskFirst: the request may run if the ledger grants an allowance.
+	AskFirst
+	// Refuse: the request is over the limit.
+	Refuse
+)
+
+// Decision is the decision of a Meter on one request.
+type Decision struct {
+	Action Action
+	// RetryAfter is set if the action is Refuse.
+	RetryAfter time.Duration
+}
+
+// Ledger accounts for the requests of all tenants on the coordinator. It is not safe for
+// concurrent use.
+//
+//	NewLedger(bound Bound) *Ledger
+//	SetConfig(limits func(tenant string) Limit, hosts int, now)      limits in force, number of known hosts
+//	Join(host string, incarnation uint64, recent []Count, now)       a host has connected
+//	Heard(host string, now)                                          a message of the host arrived
+//	Left(host string, ended bool, now)                               its stream ended; ended: the process is known to have ended or left
+//	Admitted(host string, counts []Count, now)                       it admitted requests without asking
+//	Ask(host string, ask Ask, now) Grant
+//	Metered(now) (tenants []string, version uint64)                  version changes with the list
+//	Sweep(now)                                                       drops silent hosts and idle tenants
+type Ledger struct{}
+
+// Meter decides on the requests of tenants at one host. It is not safe for concurrent use.
+//
+//	NewMeter(bound Bound) *Meter
+//	SetHosts(n int)                                                  number of known hosts
+//	Take(tenant string, limit Limit, now) Decision
+//	Granted(tenant string, n int, now)                               n requests run on allowances
+//	Return(tenant string, now)                                       an admitted request was not run
+//	Unanswered(tenant string, limit Limit, now) Decision             the ledger did not answer an ask in time
+//	Connected(now) (recent []Count)                                  a stream to a ledger has begun
+//	Heard(metered []string, replace bool, now)                       a message of the ledger arrived
+//	Disconnected(now)
+//	Report(now) []Count                                              admitted without allowance since the last report
+type Meter struct{}
--- /dev/null
+++ b/tenant/tenant.go
@@ -0,0 +1,18 @@
+// Package tenant finds the tenant of a request by its API key.
+//
+// Invariants: a key is kept and compared only as a digest, and appears in no error, log or
+// message. A key that two tenants hold belongs to neither. A Directory is immutable.
+package tenant
+
+import "github.com/mallowgap/mallowgap/quota"
+
+// Tenant is a customer whose requests carry one of its keys.
+type Tenant struct {
+	Name string
+	// Keys are the API keys, of any bytes.
+	Keys []string
+	// Priority is the priority of its requests; nil means that of the route. See Rank.
+	Priority *int
+	// Limit is the limit on its requests over all hosts.
+	Limit quota.Limit
+}
