--- a/admission/shared.go
+++ b/admission/shared.go
@@ -9,8 +9,8 @@
 	Late bool
 	// Returning is set if the callers return after a refusal.
 	Returning bool
-	// Tenant is empty if the class is not that of one tenant.
-	Tenant string
+	// Team is empty if the class is not that of one team.
+	Team string
 }
 
 // Offered is work of one class that was offered at one host.
@@ -27,8 +27,8 @@
 	Wait time.Duration
 	// RefusedShare is the share (0 to 1) of the offered work that is refused.
 	RefusedShare float64
-	// Classes are the classes that are not always admitted. A class of one tenant goes before that
-	// of all tenants.
+	// Classes are the classes that are not always admitted. A class of one team goes before that
+	// of all teams.
 	Classes []ClassVerdict
 }
 
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -73,7 +73,7 @@
 	quota := file.GetQuota()
 	assert.Assert(t, quota.GetWindow().AsDuration() == 5*time.Second && quota.GetExcess() == 0.1 && quota.GetSlack() == 20)
 	file, err = loadGateway(t, renderTemplate(t, "rule_params.cold_excess", "rule_params.cold_slack", "rule_params.quota_window_s", "rule_params.quota_excess", "rule_params.quota_slack"))
-	assert.NilError(t, err, "without values for the limits of cold servers and of tenants")
+	assert.NilError(t, err, "without values for the limits of cold servers and of teams")
 	assert.Assert(t, file.GetQuota().GetExcess() == 0 && file.GetQuota().GetSlack() == 0)
 	assert.Assert(t, file.GetCold().GetExcess() == 1 && file.GetCold().GetSlack() == 0)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,22 +1,22 @@
-// Package quota holds the request limits of tenants over all hosts.
+// Package quota holds the request limits of teams over all hosts.
 //
-// One host, the coordinator, has a Ledger with a token bucket for each tenant; every host
-// has a Meter. While a tenant is far below its limit, hosts admit its requests at once and
-// report them afterwards. When the bucket runs low, the ledger declares the tenant metered:
+// One host, the coordinator, has a Ledger with a token bucket for each team; every host
+// has a Meter. While a team is far below its limit, hosts admit its requests at once and
+// report them afterwards. When the bucket runs low, the ledger declares the team metered:
 // hosts then ask for an allowance before they admit a request.
 //
 // Invariants:
 //   - In any window, the requests admitted by all hosts stay within
 //     (PerSecond x window + Burst) x (1 + Excess) + Slack, whichever hosts or links fail.
 //   - While all hosts are connected to one ledger, PerSecond x window + Burst holds, apart from the
-//     requests admitted while the news that the tenant is metered is under way.
+//     requests admitted while the news that the team is metered is under way.
 //   - A ledger grants the fraction of the limit that corresponds to the hosts it hears, so that two
 //     ledgers together grant no more than one.
 package quota
 
 import "time"
 
-// Limit is the request limit of a tenant over all hosts: a token bucket.
+// Limit is the request limit of a team over all hosts: a token bucket.
 type Limit struct {
 	// PerSecond is the refill rate in requests per second; 0 means no limit.
 	PerSecond float64
@@ -37,17 +37,17 @@
 	Excess, Slack float64
 }
 
-// Count is a number of requests that a host admitted for a tenant some time ago. It is negative
+// Count is a number of requests that a host admitted for a team some time ago. It is negative
 // if admitted requests were not run.
 type Count struct {
-	Tenant   string
+	Team   string
 	Requests int
 	Age      time.Duration
 }
 
 // Ask asks a ledger for allowances.
 type Ask struct {
-	Tenant   string
+	Team   string
 	Requests int
 	// Patience is how long a refused caller is willing to wait before it returns.
 	Patience time.Duration
@@ -82,28 +82,28 @@
 	RetryAfter time.Duration
 }
 
-// Ledger accounts for the requests of all tenants on the coordinator. It is not safe for
+// Ledger accounts for the requests of all teams on the coordinator. It is not safe for
 // concurrent use.
 //
 //	NewLedger(bound Bound) *Ledger
-//	SetConfig(limits func(tenant string) Limit, hosts int, now)      limits in force, number of known hosts
+//	SetConfig(limits func(team string) Limit, hosts int, now)      limits in force, number of known hosts
 //	Join(host string, incarnation uint64, recent []Count, now)       a host has connected
 //	Heard(host string, now)                                          a message of the host arrived
 //	Left(host string, ended bool, now)                               its stream ended; ended: the process is known to have ended or left
 //	Admitted(host string, counts []Count, now)                       it admitted requests without asking
 //	Ask(host string, ask Ask, now) Grant
-//	Metered(now) (tenants []string, version uint64)                  version changes with the list
-//	Sweep(now)                                                       drops silent hosts and idle tenants
+//	Metered(now) (teams []string, version uint64)                  version changes with the list
+//	Sweep(now)                                                       drops silent hosts and idle teams
 type Ledger struct{}
 
-// Meter decides on the requests of tenants at one host. It is not safe for concurrent use.
+// Meter decides on the requests of teams at one host. It is not safe for concurrent use.
 //
 //	NewMeter(bound Bound) *Meter
 //	SetHosts(n int)                                                  number of known hosts
-//	Take(tenant string, limit Limit, now) Decision
-//	Granted(tenant string, n int, now)                               n requests run on allowances
-//	Return(tenant string, now)                                       an admitted request was not run
-//	Unanswered(tenant string, limit Limit, now) Decision             the ledger did not answer an ask in time
+//	Take(team string, limit Limit, now) Decision
+//	Granted(team string, n int, now)                               n requests run on allowances
+//	Return(team string, now)                                       an admitted request was not run
+//	Unanswered(team string, limit Limit, now) Decision             the ledger did not answer an ask in time
 //	Connected(now) (recent []Count)                                  a stream to a ledger has begun
 //	Heard(metered []string, replace bool, now)                       a message of the ledger arrived
 //	Disconnected(now)
--- a/tenant/tenant.go
+++ b/team/team.go
@@ -1,13 +1,13 @@
-// Package tenant finds the tenant of a request by its API key.
+// Package team finds the team of a request by its API key.
 //
 // Invariants: a key is kept and compared only as a digest, and appears in no error, log or
-// message. A key that two tenants hold belongs to neither. A Directory is immutable.
-package tenant
+// message. A key that two teams hold belongs to neither. A Directory is immutable.
+package team
 
 import "github.com/mallowgap/mallowgap/quota"
 
-// Tenant is a customer whose requests carry one of its keys.
-type Tenant struct {
+// Team is a customer whose requests carry one of its keys.
+type Team struct {
 	Name string
 	// Keys are the API keys, of any bytes.
 	Keys []string
