--- a/quota/quota.go
+++ b/quota/quota.go
@@ -40,14 +40,14 @@
 // Count is a number of requests that a host admitted for a team some time ago. It is negative
 // if admitted requests were not run.
 type Count struct {
-	Team   string
+	Team     string
 	Requests int
 	Age      time.Duration
 }
 
 // Ask asks a ledger for allowances.
 type Ask struct {
-	Team   string
+	Team     string
 	Requests int
 	// Patience is how long a refused caller is willing to wait before it returns.
 	Patience time.Duration
