Requests wait while no host knows the configuration

Ruled out: a short wait for all starts (a host that starts alone is better left for another). Change: a host that has asked another one and learned that it knows nothing either lets requests wait for a third of their timeout, and tells those that it refuses to come back after a third of what is left.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -77,6 +77,9 @@
 	preferred        atomic.Pointer[string]
 	preferredChanged chan struct{}
 
+	// uninformedPeer is set when another host has answered that it knows no state either.
+	uninformedPeer atomic.Bool
+
 	tasks sync.WaitGroup
 	// leave is closed when a graceful shutdown begins.
 	leave     chan struct{}
@@ -142,6 +145,10 @@
 // Initialized returns a channel that is closed once the configuration and the servers are known.
 func (c *Control) Initialized() <-chan struct{} { return c.state.initialized }
 
+// FleetStarting reports whether neither this host nor another one that it asked knows the
+// configuration yet, as after the loss of all hosts during an outage of the store.
+func (c *Control) FleetStarting() bool { return !c.View().Initialized && c.uninformedPeer.Load() }
+
 // Health returns the tracker of unresponsive peers.
 func (c *Control) Health() *PeerHealth { return c.health }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -109,6 +109,9 @@
 	if fresh && !c.View().StoreLost.IsZero() {
 		c.preferLeader(address)
 	}
+	if known == 0 && reply.GetRevision() == 0 && address != c.self.GetAddress() {
+		c.uninformedPeer.Store(true)
+	}
 	if reply.GetRevision() <= known {
 		return fresh
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -482,6 +482,35 @@
 	})
 }
 
+// If all hosts start while the store is down, a request must wait for the configuration rather
+// than be refused twice, and a caller that is refused must be told to come back as late as it can.
+func TestRequestWaitsWhileNoHostKnowsTheConfiguration(t *testing.T) {
+	first, second := settingsOf(t, hostSpec{"host1", "a1", "a"}), settingsOf(t, hostSpec{"host2", "a1", "a"})
+	first.Store.Seeds, second.Store.Seeds = second.Listen.Peers, first.Listen.Peers
+	config := shardedConfig(1, 1)
+	for i := range config.Routes {
+		config.Routes[i].Timeout = 10 * time.Second
+	}
+	withCluster(t, config, serversOf([]string{"single"}, "a1"), nil, func(cl *cluster) {
+		cl.store.SetDown(true)
+		cl.start(first)
+		cl.start(second)
+		time.Sleep(500 * time.Millisecond)
+		r := cl.newRequest("/one/x")
+		r.Timeout = 900 * time.Millisecond
+		answer := cl.hosts["host1"].Serve(cl.ctx, r)
+		assert.Equal(t, answer.Outcome, NotRun)
+		assert.Equal(t, time.Since(r.Arrived), 300*time.Millisecond)
+		assert.Equal(t, answer.RetryAfter, 200*time.Millisecond)
+
+		time.AfterFunc(time.Second, func() { cl.store.SetDown(false) })
+		r = cl.newRequest("/one/x")
+		r.Timeout = 6 * time.Second
+		answer = cl.hosts["host2"].Serve(cl.ctx, r)
+		assert.Equal(t, answer.Outcome, Forwarded, answer.Reason)
+	})
+}
+
 func TestOversizedRequestsAreRefused(t *testing.T) {
 	config := shardedConfig(1, 1)
 	config.Limits = route.Limits{HeaderBytes: 100, BodyBytes: 10}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -23,13 +23,21 @@
 	// Waiting is cheaper for the caller than a new connection to another host, which may be
 	// starting too.
 	startupWait = 150 * time.Millisecond
+	// fleetStartShare is the share of the caller's timeout for which a request waits if no host
+	// knows the configuration: no other host could serve it, and a caller that is refused may not
+	// come back more than once. fleetStartReturn is the share of the remaining timeout after which
+	// the caller is told to come back.
+	fleetStartShare  = 1.0 / 3
+	fleetStartReturn = 1.0 / 3
+	// maxStartupWaiters limits the requests that wait for longer than startupWait.
+	maxStartupWaiters = 500
 )
 
 // Serve serves one request of a caller. ctx is done when the caller has disconnected.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	v := g.awaitView(ctx)
+	v := g.awaitView(ctx, r)
 	t := &trace{}
 	name, objective := "", time.Duration(0)
 	entry, answer := matchRoute(v, r)
@@ -38,6 +46,9 @@
 		answer = g.serveRoute(ctx, v, entry, r, t)
 	}
 	elapsed := time.Since(r.Arrived)
+	if answer.Cause == CauseNoConfig && g.control.FleetStarting() {
+		answer.RetryAfter = max(minRetryAfter, time.Duration(fleetStartReturn*float64(r.Timeout-elapsed)))
+	}
 	countAnswer(name, answer)
 	observeDuration(name, elapsed)
 	g.logRequest(r, v, name, answer, t, elapsed, objective)
@@ -45,14 +56,15 @@
 }
 
 // awaitView returns the view in force. On a host that has just started or resumed from a
-// suspension, it waits up to startupWait for the state to be known or confirmed.
-func (g *Gateway) awaitView(ctx context.Context) *control.View {
+// suspension, it waits up to startupWait for the state to be known or confirmed, and up to
+// fleetStartShare of the caller's timeout if no host knows the configuration.
+func (g *Gateway) awaitView(ctx context.Context, r *Request) *control.View {
 	if v := g.control.View(); v.Initialized && !v.Unconfirmed {
 		return v
 	}
 	timer := time.NewTimer(startupWait)
 	defer timer.Stop()
-	for {
+	for extended := false; ; {
 		v := g.control.View()
 		changed := g.control.Initialized()
 		if v.Initialized {
@@ -64,7 +76,12 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return g.control.View()
+			rest := time.Duration(fleetStartShare*float64(r.Timeout)) - time.Since(r.Arrived)
+			if extended || rest <= 0 || !g.control.FleetStarting() || g.InFlight() > maxStartupWaiters {
+				return g.control.View()
+			}
+			extended = true
+			timer.Reset(rest)
 		case <-ctx.Done():
 			return g.control.View()
 		}
