--- a/purity_test.go
+++ b/purity_test.go
@@ -17,7 +17,7 @@
 // decisionPackages contain pure decision logic, without I/O, transport or metrics.
 var decisionPackages = []string{
 	"admission", "config", "discovery", "drain", "fanout", "limit", "member", "once", "quarantine", "rendezvous", "replica", "retry", "route", "scarcity", "scatter",
-	"snapshot",
+	"snapshot", "team",
 }
 
 // forbiddenImports are prefixes of import paths on which decision packages must not
@@ -43,7 +43,7 @@
 // adapter, the package platform.
 var platformNames = []string{
 	"X-Mallowgap-", "kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep", "op/config", "goal_ms", "top_k", "min_share",
-	"weighted_services", "cold_left_ms", "home_regions", "cold_per_s", "op/evacuate",
+	"weighted_services", "cold_left_ms", "home_regions", "cold_per_s", "op/evacuate", "api_keys", "per_s", "tenant",
 }
 
 // TestPlatformNamesStayInTheAdapter checks that no other package uses names of the
--- a/route/config.go
+++ b/route/config.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/mallowgap/mallowgap/team"
+)
 
 // Config is one version of the routing configuration.
 type Config struct {
@@ -9,6 +13,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Teams are the teams whose keys requests carry. If there are none, keys are not looked at.
+	Teams []team.Team
 }
 
 // Route describes how the requests for one host name and path prefix are served.
@@ -35,6 +41,8 @@
 	Query *Query
 	// HomeRegions are the regions whose servers and hosts may see a request.
 	HomeRegions HomeRegions
+	// Public is set if a request needs no key of a team.
+	Public bool
 }
 
 // Target is a service of a route and its weight in the split of the requests.
--- a/route/table.go
+++ b/route/table.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"sync"
+
+	"github.com/mallowgap/mallowgap/team"
 )
 
 // Table finds the route of a request in one configuration. It is immutable except
@@ -19,6 +21,7 @@
 	// Lists that differ only in their order are distinct.
 	shardSets  [][]string
 	routeNames map[string]bool
+	teams      *team.Directory
 }
 
 // Entry is a route of a table.
@@ -47,6 +50,10 @@
 		t.services[s.Name] = s
 	}
 	t.computeMaxMissing()
+	if len(config.Teams) > 0 {
+		t.teams = team.NewDirectory(config.Teams)
+		t.config.Teams = nil // The directory holds no key in clear.
+	}
 	return t
 }
 
@@ -99,6 +106,9 @@
 // Limits returns the limits of the configuration.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
+// Teams returns the teams of the configuration, or nil if it has none.
+func (t *Table) Teams() *team.Directory { return t.teams }
+
 // Service returns the named service. If the configuration does not describe it,
 // only its name is set.
 func (t *Table) Service(name string) Service {
--- a/route/validate.go
+++ b/route/validate.go
@@ -4,23 +4,29 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/mallowgap/mallowgap/team"
 )
 
 // InvalidError reports an invalid value in a configuration and how to correct it.
 type InvalidError struct {
 	Version uint64
-	// Route or Service is the name of what the value belongs to; the other is empty.
-	Route, Service string
+	// Route, Service or Team is the name of what the value belongs to; the others are empty.
+	Route, Service, Team string
 	Field          string
 	Remedy         string
 }
 
 // Error returns the name of the value and the remedy.
 func (e *InvalidError) Error() string {
-	if e.Service != "" {
-		return fmt.Sprintf("configuration %d: service %q: invalid %s: %s", e.Version, e.Service, e.Field, e.Remedy)
+	kind, name := "route", e.Route
+	switch {
+	case e.Service != "":
+		kind, name = "service", e.Service
+	case e.Team != "":
+		kind, name = "team", e.Team
 	}
-	return fmt.Sprintf("configuration %d: route %q: invalid %s: %s", e.Version, e.Route, e.Field, e.Remedy)
+	return fmt.Sprintf("configuration %d: %s %q: invalid %s: %s", e.Version, kind, name, e.Field, e.Remedy)
 }
 
 // Warnings returns the invalid values for which the configuration is not rejected.
@@ -47,6 +53,9 @@
 			warnings = append(warnings, &InvalidError{Version: c.Version, Service: s.Name, Field: field, Remedy: "it is treated as unknown; set 0 or a positive number"})
 		}
 	}
+	for _, p := range team.Check(c.Teams) {
+		warnings = append(warnings, &InvalidError{Version: c.Version, Team: p.Team, Field: p.Field, Remedy: p.Remedy})
+	}
 	return warnings
 }
 
