Keys of teams are checked at the gateway, and servers get the team in their place

If the configuration has teams, a request needs a key that exactly one team holds, unless its route is public; others are answered with 401. Neither the key nor the team that the caller names reaches a server or a relay: the gateway sets the header, which relays of any build pass on. The priority of the team decides on admission, and the fingerprint of the quarantine has the team in place of the key. Without teams nothing changes.

--- a/cmd/mallowgap/gateway.go
+++ b/cmd/mallowgap/gateway.go
@@ -59,6 +59,7 @@
 	defer func() { _ = peers.Close() }()
 	g := gateway.New(file, gateway.Adapters{
 		Store: platform.NewStore(file.GetStore().GetAddress(), file.GetStore().GetCallTimeout().AsDuration()), Backends: backends, Peers: peers,
+		TeamHeader: platform.HeaderTeam,
 	}, log)
 	go checkSettingsOnHangup(path, log)
 	return g.Run(stopSignal(), gateway.Handlers{
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -15,7 +15,7 @@
 // not, it returns the refusal.
 func (q *query) admit(now time.Time) (Answer, bool) {
 	waited := q.gateway.callerWaited(q.entry.Name, q.request.Timeout, now)
-	offered := admission.Request{Rank: q.entry.Rank(), Objective: q.objective, Late: waited > q.objective, Wait: q.serverWait(now)}
+	offered := admission.Request{Rank: q.rank, Objective: q.objective, Late: waited > q.objective, Wait: q.serverWait(now)}
 	decision := q.groups[0].askGate(offered, now)
 	q.trace.wait, q.trace.probability = offered.Wait, decision.Probability
 	if decision.Admitted {
@@ -88,7 +88,7 @@
 	defer g.mu.Unlock()
 	for _, r := range results {
 		if r.outcome == relaypb.Outcome_PART && r.runTime > 0 {
-			g.gate.ObserveCost(q.entry.Rank(), r.runTime)
+			g.gate.ObserveCost(q.rank, r.runTime)
 		}
 	}
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -16,6 +16,8 @@
 	Gathered
 	// NoRoute: no route of the configuration in force matches the request.
 	NoRoute
+	// Unauthorized: the route requires a key of a team, and the request carries none.
+	Unauthorized
 	// Malformed: the request lacks a mandatory field.
 	Malformed
 	// TooLarge: the body exceeds the configured limit.
@@ -34,7 +36,7 @@
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"forwarded", "gathered", "no_route", "malformed", "too_large", "header_too_large", "not_run", "failed", "timed_out", "caller_left"}[o]
+	return [...]string{"forwarded", "gathered", "no_route", "unauthorized", "malformed", "too_large", "header_too_large", "not_run", "failed", "timed_out", "caller_left"}[o]
 }
 
 // Cause is the cause of an answer that is not a complete success, for metrics and alerts.
@@ -53,6 +55,10 @@
 	CauseHeaderSize Cause = "header_size"
 	// CauseNoRoute: no route matches the request.
 	CauseNoRoute Cause = "no_route"
+	// CauseMissingKey: the request carries no key.
+	CauseMissingKey Cause = "missing_key"
+	// CauseUnknownKey: no team holds the key of the request, or several do.
+	CauseUnknownKey Cause = "unknown_key"
 	// CauseNoTime: the caller's timeout expired before an attempt was made.
 	CauseNoTime Cause = "no_time"
 	// CauseNoServer: the service has no server in service.
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -24,6 +24,11 @@
 	Target string
 	// Header holds the end-to-end headers.
 	Header http.Header
+	// Authorization holds the values of the Authorization header, also where the caller declared
+	// it to concern only its connection. It is cleared once the team is known.
+	Authorization []string
+	// Team is the name of the team whose key the request carried; empty if there is none.
+	Team string
 	// HeaderBytes is the size of the header as sent by the caller.
 	HeaderBytes int
 	Body        []byte
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Store    control.Store
 	Backends BackendClient
 	Peers    PeerClient
+	// TeamHeader is the name of the header that tells servers the team of a request.
+	TeamHeader string
 	// Suspended returns the total time for which the machine has been suspended since boot. If nil,
 	// it is derived from the system clocks.
 	Suspended func() time.Duration
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -206,7 +206,7 @@
 // that.
 func TestRelayTurnsBarredRequestsAway(t *testing.T) {
 	withCluster(t, shardedConfig(1, 2), serversOf(shardNames(2), "b1"), threeRegions[:2], func(cl *cluster) {
-		f := fingerprint(cl.newRequest("/q/poison"))
+		f := cl.hosts["host1"].fingerprint(cl.newRequest("/q/poison"))
 		relay := cl.hosts["host2"]
 		relay.guard = guard.New("host2", discardRecords{}, zerolog.Nop())
 		relay.guard.AddLocal(f, quarantine.Record{Servers: []string{"a", "b", "c"}, Crashes: 3, Trials: []string{"b", "c"}}, time.Now())
@@ -239,7 +239,7 @@
 		go func() { answers <- cl.ask("host1", "/q/poison") }()
 		time.Sleep(50 * time.Millisecond)
 		began := time.Now()
-		f := fingerprint(cl.newRequest("/q/poison"))
+		f := cl.hosts["host1"].fingerprint(cl.newRequest("/q/poison"))
 		value, err := proto.Marshal(&relaypb.QuarantineRecord{Servers: []string{"a", "b", "c"}, Ended: 3, TrialServers: []string{"b", "c"}})
 		assert.NilError(cl.t, err)
 		cl.store.Apply(control.Entry{Kind: relaypb.EntryKind_QUARANTINE, Name: quarantine.RecordKeyFor(f, "host7"), Value: value})
@@ -280,7 +280,7 @@
 				r := cl.newRequest(path)
 				r.Timeout = timeout
 				g := cl.hosts["host1"]
-				g.guard.AddLocal(fingerprint(r), quarantine.Record{Servers: []string{"a"}, Crashes: 1}, time.Now())
+				g.guard.AddLocal(g.fingerprint(r), quarantine.Record{Servers: []string{"a"}, Crashes: 1}, time.Now())
 				a := g.Serve(cl.ctx, r)
 				assert.Assert(cl.t, a.Outcome == Gathered || a.Outcome == Forwarded, "%+v", a)
 			})
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -54,9 +54,11 @@
 // query serves one request. Its fields belong to the request's goroutine; calls report their
 // results through events.
 type query struct {
-	gateway    *Gateway
-	view       *control.View
-	entry      *route.Entry
+	gateway *Gateway
+	view    *control.View
+	entry   *route.Entry
+	// rank is the rank of the request; 0 is the highest.
+	rank       uint32
 	request    *Request
 	trace      *trace
 	objective  time.Duration
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -124,7 +124,7 @@
 
 // isBarred reports whether this host knows the request to be barred.
 func (g *Gateway) isBarred(r *Request) bool {
-	return g.guard.Active() && g.guard.Standing(fingerprint(r)) == quarantine.Barred
+	return g.guard.Active() && g.guard.Standing(g.fingerprint(r)) == quarantine.Barred
 }
 
 // relaySuspicion tracks servers that crashed while running a relayed request. A relay does not know
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -34,7 +34,7 @@
 type trace struct {
 	first, retries, hedges, denied int
 	relayed                        int
-	// rank is the rank of the route; 0 is the highest.
+	// rank is the rank of the request; 0 is the highest.
 	rank uint32
 	// wait is the expected wait at the servers and probability the probability of admission that
 	// resulted.
@@ -87,6 +87,9 @@
 		return
 	}
 	e = e.Str("request", r.ID).Str("route", routeName).Uint32("rank", t.rank).Dur("objective", objective).Str("outcome", a.Outcome.String()).Dur("elapsed", elapsed).Dur("timeout", r.Timeout)
+	if r.Team != "" {
+		e = e.Str("team", r.Team)
+	}
 	if v.Table != nil {
 		e = e.Uint64("version", v.Table.Version()).Dur("version_age", time.Since(v.TableSince))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,7 +34,7 @@
 	name, objective := "", time.Duration(0)
 	entry, answer := matchRoute(v, r)
 	if entry != nil {
-		name, objective, t.rank = entry.Name, entry.EffectiveObjective(), entry.Rank()
+		name, objective = entry.Name, entry.EffectiveObjective()
 		answer = g.serveRoute(ctx, v, entry, r, t)
 	}
 	elapsed := time.Since(r.Arrived)
@@ -103,7 +103,12 @@
 
 // serveRoute serves a request that matched a route.
 func (g *Gateway) serveRoute(ctx context.Context, v *control.View, entry *route.Entry, r *Request, t *trace) Answer {
-	q := g.newQuery(v, entry, r, t)
+	member, refused, ok := g.authenticate(v.Table.Teams(), entry, r)
+	t.rank = member.Rank(entry.Rank())
+	if !ok {
+		return refused
+	}
+	q := g.newQuery(v, entry, t.rank, r, t)
 	if !time.Now().Before(q.end) {
 		return notRun(CauseNoTime, "the caller's timeout has expired", minRetryAfter)
 	}
@@ -127,14 +132,14 @@
 
 // newQuery returns the query that serves a request. A route without shards is served as a query
 // over a single shard, the chosen service.
-func (g *Gateway) newQuery(v *control.View, entry *route.Entry, r *Request, t *trace) *query {
+func (g *Gateway) newQuery(v *control.View, entry *route.Entry, rank uint32, r *Request, t *trace) *query {
 	timeout := entry.Timeout
 	if r.Timeout > 0 {
 		timeout = min(timeout, r.Timeout)
 	}
 	objective := entry.EffectiveObjective()
 	q := &query{
-		gateway: g, view: v, entry: entry, request: r, trace: t, objective: objective,
+		gateway: g, view: v, entry: entry, rank: rank, request: r, trace: t, objective: objective,
 		end:        r.Arrived.Add(timeout - endMargin),
 		dispatchBy: r.Arrived.Add(time.Duration(dispatchShare * float64(objective))),
 	}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -54,7 +54,7 @@
 // fingerprint returns the fingerprint of the request, computing it at most once.
 func (q *query) fingerprint() quarantine.Fingerprint {
 	if !q.trial.hasFingerprint {
-		q.trial.fingerprint, q.trial.hasFingerprint = fingerprint(q.request), true
+		q.trial.fingerprint, q.trial.hasFingerprint = q.gateway.fingerprint(q.request), true
 	}
 	return q.trial.fingerprint
 }
@@ -250,9 +250,15 @@
 	return description[:min(len(description), quarantine.MaxDescription)]
 }
 
-// fingerprint returns the fingerprint of the content and caller of a request.
-func fingerprint(r *Request) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(quarantine.Content{Method: r.Method, Host: r.Host, Target: r.Target, Caller: r.Header.Get("Authorization"), Body: r.Body})
+// fingerprint returns the fingerprint of the content and caller of a request. Where requests carry
+// keys of teams, the team stands for the caller, and the host that received the request and its
+// relays find it in the same header.
+func (g *Gateway) fingerprint(r *Request) quarantine.Fingerprint {
+	caller := r.Header.Get("Authorization")
+	if caller == "" {
+		caller = r.Header.Get(g.adapters.TeamHeader)
+	}
+	return quarantine.FingerprintOf(quarantine.Content{Method: r.Method, Host: r.Host, Target: r.Target, Caller: caller, Body: r.Body})
 }
 
 // serverVersions returns the software versions of the servers in service in the given groups.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -47,6 +47,9 @@
 // hostSpec is the name and the location of a gateway.
 type hostSpec struct{ name, domain, region string }
 
+// teamHeader is the header that tells the servers of the cluster the team of a request.
+const teamHeader = "X-Team"
+
 // domainRegions assigns the failure domains of the cluster to regions.
 const domainRegions = "a1=a, a2=a, b1=b, c1=c"
 
@@ -98,7 +101,7 @@
 // startOn starts a gateway on the given store.
 func (cl *cluster) startOn(file *settingspb.Gateway, store control.Store) *Gateway {
 	name := file.GetHost().GetName()
-	g := New(file, Adapters{Store: store, Backends: cl.backends, Peers: cl.peers, Suspended: func() time.Duration { return cl.suspended(name) }}, cl.log)
+	g := New(file, Adapters{Store: store, Backends: cl.backends, Peers: cl.peers, TeamHeader: teamHeader, Suspended: func() time.Duration { return cl.suspended(name) }}, cl.log)
 	cl.peers.add(file.GetListen().GetPeers(), g)
 	cl.hosts[file.GetHost().GetName()] = g
 	g.Start(cl.ctx)
@@ -290,6 +293,8 @@
 	// gathers counts the Gather calls to all hosts, relayed those to each address.
 	gathers atomic.Int64
 	relayed map[string]int
+	// onGather is called with each Gather call, if it is set.
+	onGather func(*relaypb.GatherRequest)
 }
 
 // relayedTo returns the number of Gather calls to a host.
@@ -329,6 +334,9 @@
 	p.gathers.Add(1)
 	p.mu.Lock()
 	p.relayed[address]++
+	if p.onGather != nil {
+		p.onGather(m)
+	}
 	p.mu.Unlock()
 	if g == nil || cut {
 		<-ctx.Done()
--- a/route/validate.go
+++ b/route/validate.go
@@ -13,8 +13,8 @@
 	Version uint64
 	// Route, Service or Team is the name of what the value belongs to; the others are empty.
 	Route, Service, Team string
-	Field          string
-	Remedy         string
+	Field                string
+	Remedy               string
 }
 
 // Error returns the name of the value and the remedy.
