--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -13,6 +13,9 @@
 // summaryInterval is the length of the intervals in the table by time.
 const summaryInterval = 2 * time.Second
 
+// maxTeams is the maximum number of teams in the table by team.
+const maxTeams = 20
+
 // result classifies the outcome of a request from its caller's point of view.
 type result string
 
@@ -29,11 +32,13 @@
 var results = []result{resultInTime, resultPartial, resultLate, resultRefused, resultFailed, resultCallerLeft}
 
 // Summary counts the requests in the logs of several hosts by result, for each route
-// and cause and for each interval. Hosts limit their log rate, so counts under heavy
+// and cause, for each interval and for each team. Hosts limit their log rate, so counts under heavy
 // load are too low; the metrics are complete.
 type Summary struct {
 	byCause map[causeKey]int
 	byTime  map[time.Time]map[result]int
+	// byTeam counts requests without a team under the empty name.
+	byTeam map[string]map[result]int
 }
 
 // causeKey identifies a row of the table by cause.
@@ -46,22 +51,26 @@
 
 // Summarize builds a summary from the lines of requests.
 func Summarize(lines []Line) Summary {
-	s := Summary{byCause: map[causeKey]int{}, byTime: map[time.Time]map[result]int{}}
+	s := Summary{byCause: map[causeKey]int{}, byTime: map[time.Time]map[result]int{}, byTeam: map[string]map[result]int{}}
 	for _, l := range lines {
 		if l.Message != "request" {
 			continue
 		}
 		f := l.result()
 		s.byCause[causeKey{l.textField("route"), int(l.numberField("rank")), f, l.textField("cause")}]++
-		interval := l.Time.Truncate(summaryInterval)
-		if s.byTime[interval] == nil {
-			s.byTime[interval] = map[result]int{}
-		}
-		s.byTime[interval][f]++
+		countResult(s.byTime, l.Time.Truncate(summaryInterval), f)
+		countResult(s.byTeam, l.textField("team"), f)
 	}
 	return s
 }
 
+func countResult[K comparable](counts map[K]map[result]int, key K, r result) {
+	if counts[key] == nil {
+		counts[key] = map[result]int{}
+	}
+	counts[key][r]++
+}
+
 // textField returns a string field, or "" if the line has no such field.
 func (l Line) textField(name string) string {
 	text, _ := l.Fields[name].(string)
@@ -79,7 +88,7 @@
 	elapsed, objective := l.numberField("elapsed"), l.numberField("objective")
 	missing, status := l.numberField("missing"), l.numberField("status")
 	switch outcome := l.textField("outcome"); {
-	case outcome == "not_run":
+	case outcome == "not_run" || outcome == "unauthorized":
 		return resultRefused
 	case outcome == "caller_left":
 		return resultCallerLeft
@@ -93,7 +102,8 @@
 	return resultInTime
 }
 
-// Write prints a table by cause, the most frequent first, and a table by time.
+// Write prints a table by cause, the most frequent first, a table by time, and, if there are teams,
+// a table of the busiest teams.
 func (s Summary) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "requests\troute\trank\twhat became of them\tcause") // Flush returns any write error.
@@ -103,17 +113,55 @@
 	for _, k := range keys {
 		_, _ = fmt.Fprintf(t, "%d\t%s\t%d\t%s\t%s\n", s.byCause[k], k.route, k.rank, k.result, k.cause)
 	}
-	_, _ = fmt.Fprint(t, "\nfrom")
-	for _, f := range results {
-		_, _ = fmt.Fprintf(t, "\t%s", f)
-	}
-	_, _ = fmt.Fprintln(t)
+	writeHeading(t, "from")
 	for _, interval := range slices.SortedFunc(maps.Keys(s.byTime), time.Time.Compare) {
-		_, _ = fmt.Fprint(t, interval.Format("15:04:05"))
-		for _, f := range results {
-			_, _ = fmt.Fprintf(t, "\t%d", s.byTime[interval][f])
-		}
-		_, _ = fmt.Fprintln(t)
+		writeRow(t, interval.Format("15:04:05"), s.byTime[interval])
 	}
+	s.writeTeams(t)
 	return t.Flush()
 }
+
+// writeTeams writes the table by team, beginning with the requests without a team. It writes
+// nothing if no request has a team.
+func (s Summary) writeTeams(w io.Writer) {
+	teams := slices.SortedFunc(maps.Keys(s.byTeam), func(a, b string) int {
+		if a == "" || b == "" {
+			return cmp.Compare(a, b)
+		}
+		return cmp.Or(cmp.Compare(total(s.byTeam[b]), total(s.byTeam[a])), cmp.Compare(a, b))
+	})
+	if len(teams) == 0 || len(teams) == 1 && teams[0] == "" {
+		return
+	}
+	writeHeading(w, "team")
+	for _, name := range teams[:min(len(teams), maxTeams)] {
+		writeRow(w, cmp.Or(name, "(none)"), s.byTeam[name])
+	}
+	if left := len(teams) - maxTeams; left > 0 {
+		_, _ = fmt.Fprintf(w, "%d more teams\n", left)
+	}
+}
+
+func total(counts map[result]int) int {
+	n := 0
+	for _, count := range counts {
+		n += count
+	}
+	return n
+}
+
+func writeHeading(w io.Writer, first string) {
+	_, _ = fmt.Fprint(w, "\n"+first)
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "\t%s", r)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+func writeRow(w io.Writer, first string, counts map[result]int) {
+	_, _ = fmt.Fprint(w, first)
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "\t%d", counts[r])
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- a/internal/explain/summary_test.go
+++ b/internal/explain/summary_test.go
@@ -1,6 +1,7 @@
 package explain_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -35,3 +36,32 @@
 00:00:02  0        0        2     1        1       0
 `)
 }
+
+// The summary must show what became of the requests of each team, and how many had no valid key.
+func TestSummaryShowsTeams(t *testing.T) {
+	var log strings.Builder
+	for i := range 25 {
+		for range 30 - i {
+			fmt.Fprintf(&log, `{"message":"request","request":"1","route":"q","rank":1,"team":"team%d","outcome":"gathered","elapsed":50,"objective":200}`+"\n", i)
+		}
+	}
+	log.WriteString(`{"message":"request","request":"2","route":"q","rank":1,"team":"team0","outcome":"not_run","objective":200,"cause":"overloaded"}
+{"message":"request","request":"3","route":"q","rank":1,"outcome":"unauthorized","objective":200,"cause":"unknown_key"}
+{"message":"request","request":"4","route":"q","rank":1,"outcome":"unauthorized","objective":200,"cause":"missing_key"}
+{"message":"request","request":"5","route":"open","rank":1,"outcome":"forwarded","status":200,"elapsed":50,"objective":200}
+`)
+	lines, _, err := explain.Read(strings.NewReader(log.String()))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explain.Summarize(lines).Write(&out))
+	for _, row := range []string{
+		"1         q      1     refused              missing_key\n", "1         q      1     refused              unknown_key\n",
+		"\nteam    in time  partial  late  refused  failed  caller left\n",
+		"team0   30       0        0     1        0       0\nteam1   29       0        0     0        0       0\n",
+		"(none)  1        0        0     2        0       0\n",
+		"team18  12       0        0     0        0       0\n6 more teams\n",
+	} {
+		assert.Assert(t, strings.Contains(out.String(), row), "%q is not in\n%s", row, out.String())
+	}
+	assert.Assert(t, !strings.Contains(out.String(), "team19"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	slowReports *slowReports
 	guard       *guard.Guard
 	suspensions *suspensions
+	teamMetrics *teamMetrics
 	// callerWaits infers, by route, how long callers have already waited.
 	callerWaitsMu sync.Mutex
 	callerWaits   map[string]*admission.WaitEstimator
@@ -73,6 +74,7 @@
 		latency:     newLatencyTracker(settings.GetQuery().GetHedgeQuantile()),
 		slowReports: newSlowReports(f),
 		suspensions: newSuspensions(),
+		teamMetrics: newTeamMetrics(),
 		callerWaits: map[string]*admission.WaitEstimator{},
 		started:     time.Now(),
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,9 @@
 	}
 	elapsed := time.Since(r.Arrived)
 	countAnswer(name, answer)
+	if r.Team != "" {
+		g.teamMetrics.count(r.Team, teamResultOf(answer), time.Now())
+	}
 	observeDuration(name, elapsed)
 	g.logRequest(r, v, name, answer, t, elapsed, objective)
 	return answer
--- a/internal/gateway/team.go
+++ b/internal/gateway/team.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/mallowgap/mallowgap/route"
 	"github.com/mallowgap/mallowgap/team"
@@ -9,6 +13,53 @@
 
 const headerAuthorization = "Authorization"
 
+// teamResult is what became of a request, for the metrics by team.
+type teamResult string
+
+const (
+	teamServed  teamResult = "served"
+	teamRefused teamResult = "refused"
+	teamFailed  teamResult = "failed"
+)
+
+var teamResults = []teamResult{teamServed, teamRefused, teamFailed}
+
+func teamResultOf(a Answer) teamResult {
+	switch {
+	case a.Outcome == Forwarded && a.Reply.OK() || a.Outcome == Gathered:
+		return teamServed
+	case a.Outcome == NotRun:
+		return teamRefused
+	}
+	return teamFailed
+}
+
+// teamMetrics counts requests by team, with labels of their own for the busiest teams only.
+type teamMetrics struct {
+	mu      sync.Mutex
+	busiest *team.Busiest
+}
+
+func newTeamMetrics() *teamMetrics { return &teamMetrics{busiest: team.NewBusiest()} }
+
+// count counts a request of a team. The lock keeps the series of a withdrawn label from coming
+// back.
+func (m *teamMetrics) count(name string, result teamResult, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	label, withdrawn := m.busiest.Count(name, now)
+	for _, w := range withdrawn {
+		for _, r := range teamResults {
+			metrics.UnregisterMetric(teamMetric(w, r))
+		}
+	}
+	metrics.GetOrCreateCounter(teamMetric(label, result)).Inc()
+}
+
+func teamMetric(label string, result teamResult) string {
+	return fmt.Sprintf("mallowgap_team_requests_total{team=%q,result=%q}", label, result)
+}
+
 // authenticate returns the team whose key a request carries, or nil if there is none and the route
 // is public. It returns the answer that refuses the request and false if the route requires a key.
 // If the configuration has teams, neither the key nor what the caller named as its team reaches
--- a/internal/gateway/team_test.go
+++ b/internal/gateway/team_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -238,3 +239,31 @@
 		assert.Assert(t, served["red"] > 5*served["blue"], "%v", served)
 	})
 }
+
+// Metrics by team must stay bounded, count every request of a team, and contain no key.
+func TestMetricsByTeamAreBounded(t *testing.T) {
+	series := func() (n int, requests uint64) {
+		for _, name := range metrics.ListMetricNames() {
+			assert.Assert(t, !strings.Contains(name, "secret"), name)
+			if strings.HasPrefix(name, "mallowgap_team_requests_total{") {
+				n++
+				requests += metrics.GetOrCreateCounter(name).Get()
+			}
+		}
+		return n, requests
+	}
+	c := teamConfig(1, "red-secret")
+	for i := range 30 {
+		c.Teams = append(c.Teams, team.Team{Name: fmt.Sprint("team", i), Keys: []string{fmt.Sprint("secret", i)}})
+	}
+	withCluster(t, c, serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		seriesBefore, before := series()
+		for i := range 60 {
+			assert.Equal(t, cl.askWith("host1", "/one/x", fmt.Sprint("Bearer secret", i%30)).Outcome, Forwarded)
+		}
+		cl.askWith("host1", "/one/x", "Bearer unknown-secret")
+		added, requests := series()
+		assert.Equal(t, requests-before, uint64(60))
+		assert.Assert(t, added-seriesBefore <= 11, "%d series", added-seriesBefore)
+	})
+}
