--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -66,3 +66,14 @@
 	assert.Equal(t, len(history.Lines), 2)
 	assert.DeepEqual(t, history.Gaps, []string{"h1 dropped 12 lines before 10:00:00.000"})
 }
+
+func TestHistoryShowsTheTeamAndTheCause(t *testing.T) {
+	log := `{"host":"h1","request":"r1","outcome":"unauthorized","cause":"unknown_key","time":"2026-12-02T10:00:02.000Z","message":"request"}
+{"host":"h1","request":"r1","outcome":"forwarded","team":"red","time":"2026-12-02T10:00:03.000Z","message":"request"}
+`
+	lines, _, err := explain.Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explain.HistoryOf(lines, "r1").Write(&out))
+	assert.Equal(t, out.String(), "10:00:02.000 h1: request cause=unknown_key outcome=unauthorized\n10:00:03.000 h1: request outcome=forwarded team=red\n")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning (the expression does not match $file)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -135,5 +135,19 @@
 TestHostsWithoutTheStoreDoNotEachFindOut@internal/control/records.go@s/if c.storeLost\(\) \{\n\t\tc.relayRecords.put/if false {\n\t\tc.relayRecords.put/@peers are not notified while the store is unavailable
 TestHostThatWasToldLeavesTheTrialToTheOther@internal/gateway/trial.go@s/q.awaitTrial\(guard.TrialDeadline\(f\)\)/q.trial.Suspect(time.Time{})/@a notified host starts its own trials
 TestStanding@quarantine/standing.go@s/MinTrialCrashes = 2/MinTrialCrashes = 1/@one end in a trial suffices for quarantine
+TestServersGetTheTeamInPlaceOfTheKey|TestRequestsWithoutAKeyOfATeamAreRefused@internal/gateway/team.go@s/\tr.Header.Del\(g.adapters.TeamHeader\)\n//@the team that a caller names reaches the servers
+TestServersGetTheTeamInPlaceOfTheKey@internal/gateway/team.go@s/\tr.Header.Del\(headerAuthorization\)\n//@the key of a team reaches the servers
+TestServersGetTheTeamInPlaceOfTheKey@internal/gateway/team.go@s/\t\tr.Header.Set\(g.adapters.TeamHeader, found.Name\)\n//@servers are not told the team
+TestMistakesInTheListOfTeams|TestRequestsWithoutAKeyOfATeamAreRefused@team/directory.go@s/return holder\{first.digest, noTeam\}/return first/@a key of two teams belongs to the first
+TestRequestsWithoutAKeyOfATeamAreRefused@internal/gateway/team.go@s/case known \|\| entry.Public:/case known:/@a public route requires a key
+TestRequestsWithoutAKeyOfATeamAreRefused@internal/gateway/team.go@s/case known \|\| entry.Public:/case true:/@every route is public
+TestCredential@team/team.go@s/len\(authorization\) != 1/len(authorization) == 0/@the first of several credentials counts
+TestRemovedKeyIsRefused@route/table.go@s/if len\(config.Teams\) > 0 \{/if len(config.Teams) > 0 && config.Version == 1 {/@keys of later configurations are ignored
+TestWithoutTeamsKeysAreForwarded@internal/gateway/team.go@s/if teams == nil \{/if teams == nil {\n\t\tteams = team.NewDirectory(nil)\n\t}\n\tif false {/@without teams, keys are required
+TestPriorityOfATeamDecidesOnAdmission@internal/gateway/admit.go@s/Rank: q.rank/Rank: q.entry.Rank()/@the priority of a team does not affect admission
+TestFingerprintHoldsTheTeam@internal/gateway/trial.go@s/caller = r.Header.Get\(g.adapters.TeamHeader\)/caller = r.Team/@a relay computes another fingerprint than the requesting host
+TestMistakesInOneTenant@platform/tenant.go@s/strings.ContainsRune\(key,/strings.ContainsRune("",/@a key with replaced bytes is accepted
+TestInvalidLimit|TestMistakesInOneTenant@team/directory.go@s/\t\t\tlimit.Invalid = true\n//@a negative limit counts as no limit
+TestLabelsOfTeamsAreBounded|TestMetricsByTeamAreBounded@team/busiest.go@s/if !b.named\[team\] \{/if false {/@every team has a label of its own
 LIST
 exit $survived
