Relays check teams that the requesting host did not check under their version

Cause: a relay passed on what it was sent. A host of the previous build, or one that has no configuration with teams yet, relays the key itself and the team that a caller names; a host that lags behind relays requests of a team that was removed. Change: a relayed request tells under which version its key was checked (teams_version, 0 for none). A relay whose version is newer looks up the key that is in the headers, or checks that the named team still exists, and otherwise does not call the server unless the route is public. Equal versions cost one comparison. Not covered: a key removed from a team that stays, while the requesting host lags; a digest of a short key in the message could be reversed.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,10 +50,15 @@
 	results := make(chan indexedResult, len(m.GetServerIds()))
 	timeout := time.Duration(m.GetTimeoutUs()) * time.Microsecond
 	timeBudget := timeBudgetFromRequest(m)
+	allowed := g.allowsRelayed(m, request)
 	barred := !m.GetTrial() && g.isBarred(request)
 	callCtx, stopCalls := context.WithCancel(ctx)
 	defer stopCalls()
 	for i, id := range m.GetServerIds() {
+		if !allowed {
+			results <- indexedResult{i, result{outcome: relaypb.Outcome_NOT_SENT, reason: "the configuration of the relay is newer than that of the requesting host, and assigns the request to no team"}}
+			continue
+		}
 		if barred {
 			results <- indexedResult{i, result{outcome: relaypb.Outcome_NOT_SENT, barred: true, reason: "the relay knows the request to be barred: servers crash when they run it"}}
 			continue
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -192,6 +192,9 @@
 		m.Whole, m.Repeatable = true, q.entry.Idempotent
 	}
 	m.Headers = encodeHeader(r.Header)
+	if table := q.view.Table; table.Teams() != nil {
+		m.TeamsVersion = table.Version()
+	}
 	ids := make([]string, len(attempts))
 	for i, a := range attempts {
 		ids[i] = a.call.backend.ID
--- a/internal/gateway/team.go
+++ b/internal/gateway/team.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/route"
 	"github.com/mallowgap/mallowgap/team"
 )
@@ -68,20 +70,47 @@
 	if teams == nil {
 		return nil, Answer{}, true
 	}
+	found, known, hasKey := g.identify(teams, r)
+	switch {
+	case known || entry.Public:
+		return found, Answer{}, true
+	case !hasKey:
+		return nil, Answer{Outcome: Unauthorized, Cause: CauseMissingKey, Reason: fmt.Sprintf("the route %s requires a key: send one Authorization header of the form \"Bearer KEY\"", entry.Name)}, false
+	}
+	return nil, Answer{Outcome: Unauthorized, Cause: CauseUnknownKey, Reason: "the configuration in force assigns the key of the request to no team, or to several: send a valid key"}, false
+}
+
+// identify finds the team whose key a request carries, and replaces the key, and what the caller
+// named as its team, by the name of that team.
+func (g *Gateway) identify(teams *team.Directory, r *Request) (found *team.Team, known, hasKey bool) {
 	key, hasKey := team.Credential(r.Authorization)
 	r.Authorization = nil
 	r.Header.Del(headerAuthorization)
 	r.Header.Del(g.adapters.TeamHeader)
-	found, known := teams.Lookup(key)
+	found, known = teams.Lookup(key)
 	if known {
 		r.Team = found.Name
 		r.Header.Set(g.adapters.TeamHeader, found.Name)
 	}
-	switch {
-	case known || entry.Public:
-		return found, Answer{}, true
-	case !hasKey:
-		return nil, Answer{Outcome: Unauthorized, Cause: CauseMissingKey, Reason: fmt.Sprintf("the route %s requires a key: send one Authorization header of the form \"Bearer KEY\"", entry.Name)}, false
+	return found, known, hasKey
+}
+
+// allowsRelayed reports whether the configuration of this host allows a relayed request. It checks
+// only what the requesting host did not: requests of a host that looked at no key, as it knows no
+// team or is of the previous build, and teams that a host knows from an older configuration.
+func (g *Gateway) allowsRelayed(m *relaypb.GatherRequest, r *Request) bool {
+	table := g.control.View().Table
+	if table == nil || table.Teams() == nil || m.GetTeamsVersion() >= table.Version() {
+		return true
 	}
-	return nil, Answer{Outcome: Unauthorized, Cause: CauseUnknownKey, Reason: "the configuration in force assigns the key of the request to no team, or to several: send a valid key"}, false
+	var known bool
+	if m.GetTeamsVersion() == 0 {
+		r.Authorization = r.Header.Values(headerAuthorization)
+		_, known, _ = g.identify(table.Teams(), r)
+	} else if _, known = table.Teams().Team(r.Header.Get(g.adapters.TeamHeader)); !known {
+		r.Header.Del(g.adapters.TeamHeader)
+	}
+	path, _, _ := strings.Cut(r.Target, "?")
+	entry := table.Match(r.Host, path)
+	return known || entry != nil && entry.Public
 }
--- a/internal/gateway/team_test.go
+++ b/internal/gateway/team_test.go
@@ -58,6 +58,7 @@
 		seen.mu.Lock()
 		defer seen.mu.Unlock()
 		fmt.Fprintln(&seen.relayed, m.String())
+		assert.Check(cl.t, m.GetTeamsVersion() == cl.hosts["host1"].control.View().Table.Version(), "relays must know that the key was checked")
 	}
 	return seen
 }
@@ -267,3 +268,49 @@
 		assert.Assert(t, added-seriesBefore <= 11, "%d series", added-seriesBefore)
 	})
 }
+
+// A relay must not pass on a request that its newer configuration does not allow, a key that the
+// requesting host did not look up, or what a caller named as its team.
+func TestRelayChecksTeamsUnderItsNewerConfiguration(t *testing.T) {
+	const sent, refused = relaypb.Outcome_PART, relaypb.Outcome_NOT_SENT
+	withCluster(t, teamConfig(3, "red-secret"), serversOf([]string{"shard0", "shard1", "single"}, "a1"), oneHost, func(cl *cluster) {
+		for name, test := range map[string]struct {
+			version   uint64
+			path      string
+			key, team string
+			outcome   relaypb.Outcome
+			seen      string
+		}{
+			"key unchecked":                     {0, "/one/x", "red-secret", "blue", sent, "red"},
+			"unknown key unchecked":             {0, "/one/x", "old-secret", "red", refused, ""},
+			"no key unchecked":                  {0, "/one/x", "", "red", refused, ""},
+			"public unchecked":                  {0, "/open/x?q", "old-secret", "red", sent, ""},
+			"no route unchecked":                {0, "/none/x", "", "red", refused, ""},
+			"team kept":                         {2, "/one/x", "", "red", sent, "red"},
+			"team removed":                      {2, "/one/x", "", "gone", refused, ""},
+			"team removed, public":              {2, "/open/x", "", "gone", sent, ""},
+			"no longer public":                  {2, "/one/x", "", "", refused, ""},
+			"public":                            {2, "/open/x", "", "", sent, ""},
+			"same version":                      {3, "/one/x", "", "red", sent, "red"},
+			"requesting host knows a newer one": {4, "/one/x", "", "new", sent, "new"},
+		} {
+			seen := observeTraffic(cl, "single")
+			m := &relaypb.GatherRequest{RequestId: name, Method: http.MethodGet, Host: "desk.example", Target: test.path, TeamsVersion: test.version,
+				ServerIds: []string{"single@a1"}, Top: 3, TimeoutUs: 1e6, SoftTimeoutUs: 1e5}
+			if test.key != "" {
+				m.Headers = append(m.Headers, &relaypb.Header{Name: headerAuthorization, Value: "Bearer " + test.key})
+			}
+			if test.team != "" {
+				m.Headers = append(m.Headers, &relaypb.Header{Name: teamHeader, Value: test.team})
+			}
+			var results []*relaypb.CallResult
+			assert.NilError(t, cl.hosts["host1"].Gather(m, &fakeStream{ctx: cl.ctx, send: func(reply *relaypb.GatherReply) { results = append(results, reply.GetResults()...) }}))
+			assert.Equal(t, len(results), 1, name)
+			assert.Equal(t, results[0].GetOutcome(), test.outcome, name)
+			if test.outcome == sent {
+				assert.DeepEqual(t, seen.teams[test.path], []string{test.seen})
+			}
+			assert.Assert(t, !strings.Contains(seen.headers.String()+results[0].GetReason(), "secret"), name)
+		}
+	})
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -149,5 +149,8 @@
 TestMistakesInOneTenant@platform/tenant.go@s/strings.ContainsRune\(key,/strings.ContainsRune("",/@a key with replaced bytes is accepted
 TestInvalidLimit|TestMistakesInOneTenant@team/directory.go@s/\t\t\tlimit.Invalid = true\n//@a negative limit counts as no limit
 TestLabelsOfTeamsAreBounded|TestMetricsByTeamAreBounded@team/busiest.go@s/if !b.named\[team\] \{/if false {/@every team has a label of its own
+TestRelayChecksTeamsUnderItsNewerConfiguration@internal/gateway/relay.go@s/allowed := g.allowsRelayed\(m, request\)/allowed := true/@a relay passes on what its configuration does not allow
+TestServersGetTheTeamInPlaceOfTheKey@internal/gateway/send.go@s/m.TeamsVersion = table.Version\(\)/_ = 0/@relays are not told that the key was checked
+TestRelayChecksTeamsUnderItsNewerConfiguration@internal/gateway/team.go@s/m.GetTeamsVersion\(\) >= table.Version\(\)/m.GetTeamsVersion() > 0/@a relay serves removed teams
 LIST
 exit $survived
