Names of teams are escaped in metrics as the text format has it

Cause: labels were quoted as Go strings. A name with a character that Go does not print (a zero-width space, a C1 control) became \u200b, an escape that scrapers refuse together with the whole page of metrics. Change: only backslash, quote and line feed are escaped. Measured: the new test failed before.

--- a/internal/gateway/team.go
+++ b/internal/gateway/team.go
@@ -58,8 +58,12 @@
 	metrics.GetOrCreateCounter(teamMetric(label, result)).Inc()
 }
 
+// labelEscaper escapes the value of a label. The text format of metrics has no other escapes, unlike
+// Go's quoted strings.
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
 func teamMetric(label string, result teamResult) string {
-	return fmt.Sprintf("mallowgap_team_requests_total{team=%q,result=%q}", label, result)
+	return fmt.Sprintf(`mallowgap_team_requests_total{team="%s",result="%s"}`, labelEscaper.Replace(label), result)
 }
 
 // authenticate returns the team whose key a request carries, or nil if there is none and the route
--- a/internal/gateway/team_test.go
+++ b/internal/gateway/team_test.go
@@ -314,3 +314,16 @@
 		}
 	})
 }
+
+// A team whose name has unusual characters must not make the metrics unreadable: the text format
+// knows only the escapes of backslash, quote and line feed.
+func TestNamesOfTeamsAreEscapedInMetrics(t *testing.T) {
+	for name, label := range map[string]string{
+		"a\"b\\": `{team="a\"b\\",`, "a\u200bb": "{team=\"a\u200bb\",", "a\u0085b": "{team=\"a\u0085b\",", "é\ufffd": "{team=\"é\ufffd\",", "a\nb": `{team="a\nb",`,
+	} {
+		metric := teamMetric(name, teamServed)
+		assert.Assert(t, strings.Contains(metric, label), metric)
+		metrics.GetOrCreateCounter(metric)
+		assert.Assert(t, metrics.UnregisterMetric(metric))
+	}
+}
