The directory of teams is built once for a version

Cause: Config.Warnings built a second directory only to list its problems, in the goroutine that applies the state. Change: the directory keeps its problems, and Table.Warnings reads them. The tests ask the table instead of the configuration, otherwise unchanged. Measured: go test ./team ./route ./platform ./internal/control passes.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -295,7 +295,7 @@
 		s.tableSince = now
 		s.listener.TableChanged(s.holder.Table())
 		s.log.Info().Uint64("version", config.Version).Uint64("revision", e.Revision).Int("routes", len(config.Routes)).Msg("configuration in force")
-		s.logWarnings(config.Warnings())
+		s.logWarnings(s.holder.Table().Warnings())
 	}
 }
 
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -87,7 +87,7 @@
 	adopted, err := h.Adopt(config)
 	assert.NilError(t, err)
 	assert.Assert(t, adopted)
-	assert.Equal(t, len(config.Warnings()), 3)
+	assert.Equal(t, len(h.Table().Warnings()), 3)
 	assert.Equal(t, config.Routes[1].Rank(), uint32(0))
 	assert.Equal(t, config.Routes[2].EffectiveObjective(), config.Routes[2].Timeout/2)
 	assert.Equal(t, config.Routes[3].EffectiveObjective(), config.Routes[3].Timeout)
--- a/route/validate.go
+++ b/route/validate.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"strings"
 	"time"
-
-	"github.com/mallowgap/mallowgap/team"
 )
 
 // InvalidError reports an invalid value in a configuration and how to correct it.
@@ -29,9 +27,10 @@
 	return fmt.Sprintf("configuration %d: %s %q: invalid %s: %s", e.Version, kind, name, e.Field, e.Remedy)
 }
 
-// Warnings returns the invalid values for which the configuration is not rejected.
+// Warnings returns the invalid values for which the configuration was not rejected.
 // Each names the value that is used instead.
-func (c *Config) Warnings() []*InvalidError {
+func (t *Table) Warnings() []*InvalidError {
+	c := &t.config
 	var warnings []*InvalidError
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -53,8 +52,10 @@
 			warnings = append(warnings, &InvalidError{Version: c.Version, Service: s.Name, Field: field, Remedy: "it is treated as unknown; set 0 or a positive number"})
 		}
 	}
-	for _, p := range team.Check(c.Teams) {
-		warnings = append(warnings, &InvalidError{Version: c.Version, Team: p.Team, Field: p.Field, Remedy: p.Remedy})
+	if t.teams != nil {
+		for _, p := range t.teams.Problems() {
+			warnings = append(warnings, &InvalidError{Version: c.Version, Team: p.Team, Field: p.Field, Remedy: p.Remedy})
+		}
 	}
 	return warnings
 }
--- a/team/directory.go
+++ b/team/directory.go
@@ -37,6 +37,8 @@
 	byName map[string]int32
 	// holders are ordered by digest, with one entry for each.
 	holders []holder
+	// problems are in the order of the teams.
+	problems []Problem
 }
 
 // Problem is an invalid value of a team and what is done instead. It contains no key.
@@ -47,20 +49,19 @@
 	Remedy string
 }
 
-// NewDirectory returns a directory of the teams. Values that Check reports are treated as it says.
-func NewDirectory(teams []Team) *Directory { return newBuilder(teams).directory }
-
-// Check returns the invalid values of the teams, in the order of the teams.
-func Check(teams []Team) []Problem {
+// NewDirectory returns a directory of the teams. Its Problems tell how invalid values are treated.
+func NewDirectory(teams []Team) *Directory {
 	b := newBuilder(teams)
 	slices.SortStableFunc(b.problems, func(p, q placedProblem) int { return cmp.Compare(p.place, q.place) })
-	problems := make([]Problem, len(b.problems))
-	for i, p := range b.problems {
-		problems[i] = p.Problem
+	for _, p := range b.problems {
+		b.directory.problems = append(b.directory.problems, p.Problem)
 	}
-	return problems
+	return b.directory
 }
 
+// Problems returns the invalid values of the teams, in the order of the teams.
+func (d *Directory) Problems() []Problem { return d.problems }
+
 // Len returns the number of teams.
 func (d *Directory) Len() int { return len(d.teams) }
 
--- a/team/team_test.go
+++ b/team/team_test.go
@@ -88,7 +88,7 @@
 				assertHolder(t, d, unknown, "")
 			}
 			var warned []string
-			for _, p := range team.Check(test.teams) {
+			for _, p := range team.NewDirectory(test.teams).Problems() {
 				warned = append(warned, p.Team+" "+p.Field)
 				assert.Assert(t, p.Remedy != "" && !strings.Contains(fmt.Sprint(p), key), "%+v", p)
 			}
@@ -156,7 +156,7 @@
 			assertHolder(t, d, key, teams[i].Name)
 		}
 	}
-	assert.Equal(t, len(team.Check(teams)), 0)
+	assert.Equal(t, len(d.Problems()), 0)
 }
 
 func BenchmarkNewDirectory(b *testing.B) {
