--- a/team/directory.go
+++ b/team/directory.go
@@ -21,7 +21,7 @@
 // choose keys whose digests share a prefix.
 type digest [sha256.Size]byte
 
-// holder is the team that holds a key, as an index; noTeam if several do.
+// holder is the team that holds a key, as an index; noTeam if several do, or one without a name.
 type holder struct {
 	digest digest
 	team   int32
@@ -138,6 +138,7 @@
 func (b *builder) add(place int, t *Team) {
 	d := b.directory
 	if !validName(t.Name) {
+		b.addHolders(t, noTeam)
 		b.warn(place, fmt.Sprintf("#%d", place+1), "name", "the team is ignored and its keys are refused; set a name without control characters and without spaces at its ends")
 		return
 	}
@@ -178,20 +179,27 @@
 }
 
 func (b *builder) addKeys(place int, t *Team) {
-	d, usable := b.directory, 0
-	for _, key := range t.Keys {
-		if key == "" {
-			b.warn(place, t.Name, "keys", "an empty key is ignored; remove it")
-			continue
-		}
-		d.holders = append(d.holders, holder{d.digest(key), int32(len(d.teams) - 1)})
-		usable++
+	usable := b.addHolders(t, int32(len(b.directory.teams)-1))
+	for range len(t.Keys) - usable {
+		b.warn(place, t.Name, "keys", "an empty key is ignored; remove it")
 	}
 	if usable == 0 {
 		b.warn(place, t.Name, "keys", "the team has no key, so no request can be its; add a key")
 	}
 }
 
+// addHolders adds the keys of a team and returns the number of those that are not empty.
+func (b *builder) addHolders(t *Team, index int32) (usable int) {
+	d := b.directory
+	for _, key := range t.Keys {
+		if key != "" {
+			d.holders = append(d.holders, holder{d.digest(key), index})
+			usable++
+		}
+	}
+	return usable
+}
+
 // joinHolders sorts the holders and joins those of one key.
 func (b *builder) joinHolders() {
 	d := b.directory
@@ -211,24 +219,31 @@
 func (b *builder) join(same []holder) holder {
 	first, last := same[0], same[len(same)-1]
 	if first.team == last.team {
-		if len(same) > 1 {
+		if len(same) > 1 && first.team != noTeam {
 			b.warnHolder(first.team, "a key is listed more than once; list it once")
 		}
 		return first
 	}
 	for i, h := range same {
-		if i > 0 && same[i-1].team == h.team {
+		if h.team == noTeam || i > 0 && same[i-1].team == h.team {
 			continue
 		}
 		other := first.team
 		if h.team == first.team {
 			other = last.team
 		}
-		b.warnHolder(h.team, fmt.Sprintf("a key is also a key of team %q and is refused; give each team keys of its own", b.directory.teams[other].Name))
+		b.warnHolder(h.team, fmt.Sprintf("a key is also a key of %s and is refused; give each team keys of its own", b.describe(other)))
 	}
 	return holder{first.digest, noTeam}
 }
 
+func (b *builder) describe(team int32) string {
+	if team == noTeam {
+		return "a team whose name cannot be used"
+	}
+	return fmt.Sprintf("team %q", b.directory.teams[team].Name)
+}
+
 func (b *builder) warnHolder(team int32, remedy string) {
 	b.warn(b.places[team], b.directory.teams[team].Name, "keys", remedy)
 }
