Relayed requests may contain any bytes

Cause: header values, targets and identifiers were strings of protobuf, which must be UTF-8. One request with another byte, also a key where no team is configured, could not be encoded: its relayed calls failed with an unknown outcome, and the sound relay became suspect. Change: the three fields are bytes, which are the same on the wire. Measured: the new test failed before; go test ./internal/gateway passes.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -41,7 +41,7 @@
 // A panic while a peer's message is processed must fail only that call.
 func TestPanicEndsOnlyThePeerCall(t *testing.T) {
 	withCluster(t, shardedConfig(1, 1), serversOf([]string{"shard0"}, "a1"), oneHost, func(cl *cluster) {
-		err := cl.hosts["host1"].Gather(&relaypb.GatherRequest{RequestId: "r"}, nil)
+		err := cl.hosts["host1"].Gather(&relaypb.GatherRequest{RequestId: []byte("r")}, nil)
 		assert.ErrorContains(cl.t, err, "fault of the program")
 	})
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,7 +35,7 @@
 // Gather implements the relay protocol. It calls the servers that the request names and merges
 // their parts. It does not choose servers and does not repeat calls.
 func (g *Gateway) Gather(m *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
-	return g.recoverPanic("gather request of a peer", m.GetRequestId(), func() error { return g.gather(m, stream) })
+	return g.recoverPanic("gather request of a peer", string(m.GetRequestId()), func() error { return g.gather(m, stream) })
 }
 
 func (g *Gateway) gather(m *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
@@ -279,7 +279,7 @@
 func requestFromPeer(m *relaypb.GatherRequest) *Request {
 	now := time.Now()
 	r := &Request{
-		ID: m.GetRequestId(), Method: m.GetMethod(), Host: m.GetHost(), Target: m.GetTarget(), Body: m.GetBody(),
+		ID: string(m.GetRequestId()), Method: m.GetMethod(), Host: m.GetHost(), Target: string(m.GetTarget()), Body: m.GetBody(),
 		Header: decodeHeader(m.GetHeaders()), Arrived: now, Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond,
 	}
 	return r
--- a/internal/gateway/relaywire.go
+++ b/internal/gateway/relaywire.go
@@ -19,7 +19,7 @@
 	var encoded []*relaypb.Header
 	for name, values := range header {
 		for _, value := range values {
-			encoded = append(encoded, &relaypb.Header{Name: name, Value: value})
+			encoded = append(encoded, &relaypb.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return encoded
@@ -28,7 +28,7 @@
 func decodeHeader(encoded []*relaypb.Header) http.Header {
 	header := http.Header{}
 	for _, h := range encoded {
-		header.Add(h.GetName(), h.GetValue())
+		header.Add(h.GetName(), string(h.GetValue()))
 	}
 	return header
 }
--- a/internal/gateway/relaywire_test.go
+++ b/internal/gateway/relaywire_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -57,3 +59,32 @@
 		assert.DeepEqual(t, m.GetServerIds(), ids)
 	}
 }
+
+// Headers, targets and identifiers may contain bytes that are not UTF-8. A message that cannot be
+// encoded would fail the request and make a sound relay suspect.
+func TestRelayedRequestsMayContainAnyBytes(t *testing.T) {
+	withCluster(t, shardedConfig(1, 2), serversOf([]string{"shard0", "shard1", "single"}, "b1"), threeRegions[:2], func(cl *cluster) {
+		encoded := 0
+		cl.peers.onGather = func(m *relaypb.GatherRequest) {
+			value, err := proto.Marshal(m)
+			assert.Check(cl.t, err)
+			assert.Check(cl.t, proto.Unmarshal(value, m))
+			encoded++
+		}
+		for _, path := range []string{"/q/\xe9", "/one/\xe9"} {
+			r := cl.newRequest(path)
+			r.ID += "\xe9"
+			r.Header.Set("X-Own", "\xe9")
+			check := func(ctx context.Context, got *Request) (*Reply, error) {
+				assert.Check(cl.t, got.ID == r.ID && got.Target == path && got.Header.Get("X-Own") == "\xe9", "%q", got)
+				return serve("x", leafServiceTime)(ctx, got)
+			}
+			for _, service := range []string{"shard0", "shard1", "single"} {
+				cl.backends.set(service, check)
+			}
+			a := cl.hosts["host1"].Serve(cl.ctx, r)
+			assert.Assert(cl.t, a.Outcome == Gathered || a.Outcome == Forwarded, "%+v", a)
+		}
+		assert.Assert(cl.t, encoded > 0)
+	})
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -73,7 +73,7 @@
 	if len(notes) > 0 || len(results) < len(m.GetServerIds()) {
 		log = &g.requestLog.bad
 	}
-	log.Info().Str("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
+	log.Info().Bytes("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
 }
 
 func (g *Gateway) logRequest(r *Request, v *control.View, routeName string, a Answer, t *trace, elapsed, objective time.Duration) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -179,7 +179,7 @@
 func (q *query) relayRequest(relay control.Host, attempts []attempt, now time.Time) *relaypb.GatherRequest {
 	r := q.request
 	m := &relaypb.GatherRequest{
-		RequestId: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body,
+		RequestId: []byte(r.ID), Method: r.Method, Target: []byte(r.Target), Host: r.Host, Body: r.Body,
 		TimeoutUs:     uint64(max(q.end.Sub(now), 0).Microseconds()),
 		SoftTimeoutUs: uint64(q.softTimeout().Microseconds()),
 		Packs:         true,
@@ -229,7 +229,7 @@
 	rc.done = make([]bool, len(rc.attempts))
 	g.peerHealth.CallStarted(relay.Address)
 	silenceTimer := time.AfterFunc(rc.silenceTimeout(request), func() { g.control.Suspect(relay.Address, time.Now()) })
-	err := g.recoverPanic("reply of a relay", request.GetRequestId(), func() error {
+	err := g.recoverPanic("reply of a relay", string(request.GetRequestId()), func() error {
 		return g.adapters.Peers.Gather(ctx, relay.Address, request, func(reply *relaypb.GatherReply) {
 			silenceTimer.Stop()
 			g.peerHealth.Answered(relay.Address)
--- a/internal/gateway/team_test.go
+++ b/internal/gateway/team_test.go
@@ -295,13 +295,13 @@
 			"requesting host knows a newer one": {4, "/one/x", "", "new", sent, "new"},
 		} {
 			seen := observeTraffic(cl, "single")
-			m := &relaypb.GatherRequest{RequestId: name, Method: http.MethodGet, Host: "desk.example", Target: test.path, TeamsVersion: test.version,
+			m := &relaypb.GatherRequest{RequestId: []byte(name), Method: http.MethodGet, Host: "desk.example", Target: []byte(test.path), TeamsVersion: test.version,
 				ServerIds: []string{"single@a1"}, Top: 3, TimeoutUs: 1e6, SoftTimeoutUs: 1e5}
 			if test.key != "" {
-				m.Headers = append(m.Headers, &relaypb.Header{Name: headerAuthorization, Value: "Bearer " + test.key})
+				m.Headers = append(m.Headers, &relaypb.Header{Name: headerAuthorization, Value: []byte("Bearer " + test.key)})
 			}
 			if test.team != "" {
-				m.Headers = append(m.Headers, &relaypb.Header{Name: teamHeader, Value: test.team})
+				m.Headers = append(m.Headers, &relaypb.Header{Name: teamHeader, Value: []byte(test.team)})
 			}
 			var results []*relaypb.CallResult
 			assert.NilError(t, cl.hosts["host1"].Gather(m, &fakeStream{ctx: cl.ctx, send: func(reply *relaypb.GatherReply) { results = append(results, reply.GetResults()...) }}))
