Descriptions of requests in quarantine records are UTF-8

Cause: a target with other bytes, or one cut within a character, made the record impossible to encode, so that other hosts never learned of the servers that the request had crashed. Change: bytes that are not UTF-8 are replaced in the description.

--- a/internal/gateway/relaywire_test.go
+++ b/internal/gateway/relaywire_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -11,6 +13,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/packing"
+	"github.com/mallowgap/mallowgap/quarantine"
 )
 
 // Packing and unpacking a reply must restore the signature of each part, whatever the outcomes.
@@ -88,3 +91,13 @@
 		assert.Assert(cl.t, encoded > 0)
 	})
 }
+
+// A description that is not UTF-8 cannot be encoded, so that other hosts would not learn which
+// request makes servers crash.
+func TestDescriptionsAreUTF8(t *testing.T) {
+	for _, target := range []string{"/\xe9", "/" + strings.Repeat("é", quarantine.MaxDescription)} {
+		description := describe(&Request{Method: "GET", Host: "h", Target: target}, "r")
+		assert.Assert(t, utf8.ValidString(description) && len(description) <= quarantine.MaxDescription, "%q", description)
+		assert.Assert(t, strings.HasPrefix(description, "GET h/"), description)
+	}
+}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -244,10 +245,10 @@
 	}
 }
 
-// describe returns a description of a request for operators.
+// describe returns a description of a request for operators, in UTF-8.
 func describe(r *Request, routeName string) string {
 	description := r.Method + " " + r.Host + r.Target + " (route " + routeName + ")"
-	return description[:min(len(description), quarantine.MaxDescription)]
+	return strings.ToValidUTF8(description[:min(len(description), quarantine.MaxDescription)], "?")
 }
 
 // fingerprint returns the fingerprint of the content and caller of a request. Where requests carry
