--- /dev/null
+++ b/internal/coordination/session.go
@@ -0,0 +1,253 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/peer"
+)
+
+const (
+	// closeTimeout limits the time to tell a coordinator that the stream ends.
+	closeTimeout = 100 * time.Millisecond
+	// maxWait is the longest wait of a session that is not paused, as it sends heartbeats. After a
+	// pause of this process its timers tell nothing about the coordinator.
+	maxWait = heartbeatInterval * 3 / 2
+)
+
+var (
+	errNoConnection = errors.New("no connection within the timeout")
+	errMoved        = errors.New("another candidate is preferred")
+	errDisabled     = errors.New("the configuration needs no coordination")
+	errLeaving      = errors.New("this host is shutting down")
+)
+
+// session is one stream to a coordinator. Its fields belong to the goroutine of run.
+type session struct {
+	c      *Coordination
+	target Host
+	began  time.Time
+	// heard is when the last message arrived; zero if none has.
+	heard time.Time
+
+	received chan *relaypb.CoordinateVerdict
+	failed   chan error
+	outgoing chan *relaypb.CoordinateReport
+	written  chan struct{}
+	// writing is set while a report is being written; due, if there is news to report.
+	writing, due bool
+	// preferred receives a better candidate once it has responded.
+	preferred chan Host
+	probing   bool
+}
+
+// run reports to the coordinator and applies its messages until the stream fails or is no longer
+// wanted. It returns why.
+func (s *session) run(ctx context.Context, stream peer.CoordinateStream) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.received, s.failed = make(chan *relaypb.CoordinateVerdict), make(chan error, 1)
+	s.outgoing, s.written = make(chan *relaypb.CoordinateReport, 1), make(chan struct{}, 1)
+	s.preferred = make(chan Host, 1)
+	go s.receive(ctx, stream)
+	go s.write(ctx, stream)
+	defer closeStream(stream)
+	account, now := s.c.account, time.Now()
+	recent := account.connected(now)
+	defer func() { account.disconnected(time.Now()) }()
+	s.send(recent, now)
+	return s.loop(ctx)
+}
+
+// closeStream tells the coordinator that the stream ends, unless that takes too long.
+func closeStream(stream peer.CoordinateStream) {
+	closed := make(chan struct{})
+	go func() {
+		_ = stream.Close() // The stream may have failed.
+		close(closed)
+	}()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	}
+}
+
+func (s *session) receive(ctx context.Context, stream peer.CoordinateStream) {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			s.failed <- err
+			return
+		}
+		select {
+		case s.received <- m:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// write writes reports. After an error receive learns why the stream failed.
+func (s *session) write(ctx context.Context, stream peer.CoordinateStream) {
+	for {
+		select {
+		case m := <-s.outgoing:
+			if stream.Send(m) != nil {
+				return
+			}
+			s.written <- struct{}{}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// loop waits for what happens next until the stream ends.
+func (s *session) loop(ctx context.Context) error {
+	account := s.c.account
+	coalesce, heartbeat, silence, poll := stoppedTimer(), time.NewTimer(heartbeatInterval), time.NewTimer(silenceTimeout), time.NewTicker(pollInterval)
+	defer func() { coalesce.Stop(); heartbeat.Stop(); silence.Stop(); poll.Stop() }()
+	for coalescing := false; ; {
+		waitBegan, silent := time.Now(), false
+		select {
+		case m := <-s.received:
+			silence.Reset(silenceTimeout)
+			s.apply(m, time.Now())
+		case err := <-s.failed:
+			return err
+		case <-account.asked:
+			s.due = true
+		case <-account.news:
+			if !coalescing {
+				coalesce.Reset(verdictInterval)
+			}
+			coalescing = true
+		case <-coalesce.C:
+			s.due, coalescing = true, false
+		case <-heartbeat.C:
+			s.due = true
+		case <-s.written:
+			s.writing = false
+		case <-silence.C:
+			silent = true
+		case <-poll.C:
+			if err := s.recheck(ctx, time.Now()); err != nil {
+				return err
+			}
+		case h := <-s.preferred:
+			if err := s.move(h, time.Now()); err != nil {
+				return err
+			}
+		case <-s.c.resumed:
+			return errSuspended
+		case <-s.c.leave:
+			return s.sayLeaving()
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		if time.Since(waitBegan) > maxWait {
+			silence.Reset(silenceTimeout)
+		} else if silent {
+			return errSilent
+		}
+		if s.due && !s.writing {
+			s.send(nil, time.Now())
+			heartbeat.Reset(heartbeatInterval)
+		}
+	}
+}
+
+// stoppedTimer returns a timer that does not run.
+func stoppedTimer() *time.Timer {
+	t := time.NewTimer(math.MaxInt64)
+	t.Stop()
+	return t
+}
+
+// send writes a report. Nothing is being written.
+func (s *session) send(recent []*relaypb.TeamCount, now time.Time) {
+	m := s.c.account.report(now)
+	m.Host, m.Incarnation, m.Recent = s.c.config.Host, s.c.config.Incarnation, recent
+	s.outgoing <- m
+	s.writing, s.due = true, false
+}
+
+// apply applies a message of the coordinator.
+func (s *session) apply(m *relaypb.CoordinateVerdict, now time.Time) {
+	if s.heard.IsZero() {
+		coordinatorChanges.Inc()
+		s.c.log.Info().Str("coordinator", s.target.Name).Str("peer", s.target.Address).Msg("connected to the coordinator")
+	}
+	s.heard = now
+	s.c.account.heard(s.target.Name, m, now)
+	if verdicts := verdictsFromWire(m.GetGates()); len(verdicts) > 0 {
+		s.c.config.Listener.VerdictsChanged(verdicts, now)
+	}
+	if loads := loadsFromWire(m.GetLoads()); len(loads) > 0 {
+		s.c.config.Listener.LoadsChanged(loads, now)
+	}
+}
+
+// recheck returns an error if the stream is no longer wanted. If there is a better candidate, it
+// finds out whether that responds.
+func (s *session) recheck(ctx context.Context, now time.Time) error {
+	target, enabled := s.c.choose(now)
+	switch {
+	case !enabled:
+		return errDisabled
+	case target == s.target || target.Name == "" || s.probing:
+		return nil
+	case s.c.isSelf(target):
+		return errMoved
+	}
+	s.probing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
+		defer cancel()
+		if _, err := s.c.config.Peers.State(ctx, target.Address, &relaypb.StateRequest{Revision: math.MaxUint64}); err != nil {
+			target.Name = ""
+		}
+		s.preferred <- target
+	}()
+	return nil
+}
+
+// move handles that a better candidate has responded, or not if its name is empty.
+func (s *session) move(target Host, now time.Time) error {
+	s.probing = false
+	if target.Name != "" {
+		return errMoved
+	}
+	s.c.coolDown(target.Address, now)
+	return nil
+}
+
+// sayLeaving sends the last report.
+func (s *session) sayLeaving() error {
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	for last := false; ; {
+		if !s.writing && !last {
+			m := s.c.account.report(time.Now())
+			m.Host, m.Incarnation, m.Leaving = s.c.config.Host, s.c.config.Incarnation, true
+			s.outgoing <- m
+			s.writing, last = true, true
+		}
+		select {
+		case <-s.written:
+			s.writing = false
+			if last {
+				return errLeaving
+			}
+		case <-s.failed:
+			return errLeaving
+		case <-timer.C:
+			return errLeaving
+		}
+	}
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcerr"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 )
@@ -68,3 +70,30 @@
 	})
 	return reply, err
 }
+
+// CoordinateStream is a host's end of a stream to a coordinator. Send and Recv may be called by
+// different goroutines.
+type CoordinateStream interface {
+	Send(report *relaypb.CoordinateReport) error
+	Recv() (*relaypb.CoordinateVerdict, error)
+	// Close tells the coordinator that the host closes the stream, while its process runs on.
+	Close() error
+}
+
+// Coordinate opens a stream to a coordinator and calls run with it. The stream ends when run
+// returns. An *UnreachableError means that no connection could be established.
+func (c *DRPCClient) Coordinate(ctx context.Context, address string, run func(CoordinateStream) error) error {
+	return c.withConn(ctx, address, func(conn drpc.Conn) error {
+		stream, err := relaypb.NewDRPCRelayClient(conn).Coordinate(ctx)
+		if err != nil {
+			return err
+		}
+		return run(stream)
+	})
+}
+
+// Unimplemented reports whether an error means that the peer does not know the method, because
+// it runs an older version.
+func Unimplemented(err error) bool {
+	return err != nil && (drpcerr.Code(err) == drpcerr.Unimplemented || strings.Contains(err.Error(), "unknown rpc"))
+}
