--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -121,13 +121,11 @@
 	c.account.observeLoad(Load{Server: server, Waiting: waiting, ServiceTime: serviceTime, InFlight: inFlight})
 }
 
-func (a *account) setHosts(n int) {
+func (a *account) setHosts(n, rank int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.hosts != n {
-		a.hosts = n
-		a.meter.SetHosts(n)
-	}
+	a.hosts = n
+	a.meter.SetHosts(n, rank)
 }
 
 func (a *account) take(ctx context.Context, team string, limit quota.Limit, patience time.Duration, returning bool) Ruling {
--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -145,7 +145,7 @@
 // if there is none, and enabled is not set if there is nothing to coordinate.
 func (c *Coordination) choose(now time.Time) (target Host, enabled bool) {
 	state := c.config.State()
-	c.account.setHosts(state.Hosts)
+	c.account.setHosts(state.Hosts, state.Rank)
 	if !state.Enabled {
 		return Host{}, false
 	}
--- /dev/null
+++ b/internal/coordination/coordination_test.go
@@ -0,0 +1,209 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/quota"
+)
+
+// take decides on a request at a host.
+func (h *host) take() Ruling {
+	return h.Take(context.Background(), "t", testLimit, time.Second, false)
+}
+
+// All hosts connect to the same coordinator, which takes itself into account as well.
+func TestAllHostsConnectToTheFirst(t *testing.T) {
+	withFleet(t, 4, func(f *fleet) {
+		assert.Equal(t, f.at(0).ledger.connected(), 4)
+		assert.Equal(t, f.at(0).ledger.recent, 4*3)
+		for i := 1; i < 4; i++ {
+			assert.Equal(t, f.at(i).ledger.connected(), 0)
+		}
+	})
+}
+
+// Asks are answered by the coordinator, on its own host as well, and refusals say when to return.
+func TestAskIsAnswered(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.at(0).ledger.allow(2)
+		for _, i := range []int{0, 2} {
+			r := f.at(i).take()
+			assert.Equal(t, r.Action, quota.Admit)
+			assert.Equal(t, r.By, ByCoordinator)
+			assert.Equal(t, f.at(i).meter.granted, 1)
+		}
+		r := f.at(2).take()
+		assert.Equal(t, r.Action, quota.Refuse)
+		assert.Equal(t, r.RetryAfter, 2*time.Millisecond, "rounded up")
+		assert.Equal(t, r.Coordinator, f.state.Candidates[0].Name)
+	})
+}
+
+// When the process of the coordinator ends, requests that wait for its answer are asked of the next
+// candidate at once; the dead host is not tried again and again.
+func TestHostsMoveWhenTheCoordinatorDies(t *testing.T) {
+	withFleet(t, 4, func(f *fleet) {
+		f.at(1).ledger.allow(1)
+		next, opened := f.at(1), f.at(0).opened
+		f.kill(f.at(0))
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, next.ledger.connected(), 3)
+		assert.Equal(t, next.take().Action, quota.Admit)
+		assert.Equal(t, opened, 3)
+		time.Sleep(time.Minute)
+		assert.Equal(t, next.ledger.connected(), 3)
+		assert.Equal(t, next.opened, 2, "one stream from each other host")
+		assert.Equal(t, len(f.suspected), 0)
+	})
+}
+
+// A frozen coordinator is suspected after the silence timeout. Until then requests are decided by
+// the host's own fraction. When it is thawed, it drops the hosts that left, and gets them back.
+func TestHostsMoveWhenTheCoordinatorFreezes(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.at(0).freeze()
+		time.Sleep(heartbeatInterval)
+		began := time.Now()
+		assert.Equal(t, f.at(2).take().By, ByFraction)
+		assert.Equal(t, time.Since(began), askTimeout)
+		time.Sleep(silenceTimeout)
+		assert.Equal(t, f.at(1).ledger.connected(), 2)
+		assert.Assert(t, f.suspected[f.state.Candidates[0].Address])
+		f.at(0).thaw()
+		time.Sleep(time.Second)
+		assert.Equal(t, f.at(0).ledger.connected(), 1, "itself")
+		assert.Equal(t, len(f.at(0).ledger.ended), 0, "the others run")
+		f.mu.Lock()
+		clear(f.suspected)
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.at(0).ledger.connected(), 3)
+	})
+}
+
+// A host that does not know the method yet is skipped, without keeping queries from it.
+func TestOldVersionIsSkipped(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.kill(f.at(0))
+		old := f.start(f.state.Candidates[0], true)
+		time.Sleep(2*oldVersionCooldown - time.Second)
+		assert.Equal(t, f.at(1).ledger.connected(), 2)
+		assert.Equal(t, len(f.suspected), 0)
+		assert.Assert(t, old.opened <= 2*2, "%d streams", old.opened)
+	})
+}
+
+// Without anything to coordinate, no stream is open and nothing is sent.
+func TestNothingIsSentUnlessNeeded(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.setEnabled(false)
+		time.Sleep(pollInterval + time.Millisecond)
+		assert.Equal(t, f.at(0).ledger.connected(), 0)
+		opened := f.at(0).opened
+		r := f.at(1).Take(f.ctx, "t", quota.Limit{}, 0, false)
+		assert.Equal(t, r.Action, quota.Admit)
+		time.Sleep(time.Minute)
+		assert.Equal(t, f.at(0).opened, opened)
+		f.setEnabled(true)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.at(0).ledger.connected(), 3)
+	})
+}
+
+// A coordinator that stops gracefully hands its hosts over at once, and is served as a host until
+// it leaves.
+func TestGracefulStopMovesHostsAtOnce(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.at(0).BeginStop()
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, f.at(0).ledger.connected(), 0)
+		assert.Equal(t, f.at(1).ledger.connected(), 3)
+		f.at(1).ledger.allow(1)
+		assert.Equal(t, f.at(0).take().Action, quota.Admit)
+		f.at(0).Leave()
+		time.Sleep(time.Millisecond)
+		assert.DeepEqual(t, f.at(1).ledger.ended, []string{f.state.Candidates[0].Name})
+	})
+}
+
+// A grant that arrives after its request was decided by the host's own fraction is given back.
+func TestLateGrantIsReturned(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		f.at(0).ledger.allow(1)
+		f.at(0).freeze()
+		assert.Equal(t, f.at(1).take().By, ByFraction)
+		f.at(0).thaw()
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, f.at(1).meter.granted, 1)
+		assert.Equal(t, f.at(1).meter.returned, 1)
+	})
+}
+
+// blockedStream is the stream of a host that reports and never reads.
+type blockedStream struct {
+	reports chan *relaypb.CoordinateReport
+	ctx     context.Context
+}
+
+func (s *blockedStream) Send(*relaypb.CoordinateVerdict) error {
+	<-s.ctx.Done()
+	return s.ctx.Err()
+}
+
+func (s *blockedStream) Recv() (*relaypb.CoordinateReport, error) {
+	select {
+	case m := <-s.reports:
+		return m, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// A host that does not read delays no other, and what waits for it stays bounded.
+func TestSlowReceiverDelaysNobody(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		slow := &blockedStream{reports: make(chan *relaypb.CoordinateReport), ctx: f.ctx}
+		go func() { _ = f.at(0).Serve(slow) }()
+		for n := range 3 * maxPendingGrants {
+			slow.reports <- &relaypb.CoordinateReport{Host: "slow", Asks: []*relaypb.TeamAsk{{Id: uint64(n), Count: 1}}}
+		}
+		f.at(0).ledger.allow(1)
+		assert.Equal(t, f.at(1).take().Action, quota.Admit)
+		links := make(chan *link, 1)
+		f.at(0).server.post(func(time.Time) { links <- f.at(0).server.links["slow"] })
+		assert.Equal(t, len((<-links).take().GetGrants()), maxPendingGrants)
+	})
+}
+
+// Hosts learn at once which teams are metered.
+func TestMeteredTeamsArePushed(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		l := f.at(0).ledger
+		l.mu.Lock()
+		l.metered, l.version = []string{"t"}, 7
+		l.mu.Unlock()
+		f.at(1).take()
+		synctest.Wait()
+		assert.DeepEqual(t, f.at(0).meter.metered, []string{"t"})
+		assert.DeepEqual(t, f.at(1).meter.metered, []string{"t"})
+	})
+}
+
+// A stream that breaks counts as the end of the process only if the peer's kernel closed it.
+func TestEndOfProcessIsTold(t *testing.T) {
+	assert.Assert(t, endedByPeer(context.Canceled), "drpc: connection closed")
+	assert.Assert(t, endedByPeer(drpc.ClosedError.Wrap(syscall.ECONNRESET)))
+	assert.Assert(t, !endedByPeer(io.EOF), "the host has closed the stream")
+	assert.Assert(t, !endedByPeer(drpc.ClosedError.Wrap(syscall.ETIMEDOUT)))
+	assert.Assert(t, !endedByPeer(errors.New("invalid message")))
+}
--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -20,7 +20,9 @@
 	Candidates []Host
 	// Hosts is the number of known hosts; 0 while the fleet is unknown.
 	Hosts int
-	// Limit returns the limit of a team.
+	// Rank is the rank (from 0) of this host among the known hosts, in an order that all share.
+	Rank int
+	// Limit returns the limit of a team, an invalid one if the team is not known.
 	Limit func(team string) quota.Limit
 }
 
@@ -41,7 +43,7 @@
 
 // Meter decides on the requests of teams at this host. quota.Meter implements it.
 type Meter interface {
-	SetHosts(n int)
+	SetHosts(n, rank int)
 	Take(team string, limit quota.Limit, now time.Time) quota.Decision
 	Granted(team string, n int, now time.Time)
 	Return(team string, now time.Time)
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -52,7 +52,7 @@
 	// loggedLinks is the number of links in the last log line about it.
 	loggedLinks int
 	metered     []string
-	// meteredVersion is the version of metered.
+	// meteredVersion is the version of metered; 0 while the ledger does not know it.
 	meteredVersion uint64
 	// verdictsDue is set if something was reported since the verdicts were computed; refusing, while
 	// one refuses a share of the work.
@@ -201,7 +201,7 @@
 	l.heard = now
 	s.links[l.host] = l
 	s.config.Ledger.Join(l.host, first.GetIncarnation(), countsFromWire(first.GetRecent()), now)
-	l.offer(&relaypb.CoordinateVerdict{Metered: s.metered, HasMetered: true, Gates: s.gates})
+	l.offer(&relaypb.CoordinateVerdict{Metered: s.metered, HasMetered: s.meteredVersion > 0, Gates: s.gates})
 	s.report(l, first, now)
 }
 
@@ -294,7 +294,8 @@
 
 func (s *server) pushMetered(now time.Time) {
 	teams, version := s.config.Ledger.Metered(now)
-	if version == s.meteredVersion {
+	if version == s.meteredVersion || version == 0 {
+		s.meteredVersion = version
 		return
 	}
 	teams = slices.Sorted(slices.Values(teams))
--- /dev/null
+++ b/internal/coordination/world_test.go
@@ -0,0 +1,277 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcerr"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/peer"
+	"github.com/mallowgap/mallowgap/quota"
+)
+
+// fleet is a set of hosts that reach each other in memory, in fake time.
+type fleet struct {
+	ctx       context.Context
+	mu        sync.Mutex
+	state     State
+	hosts     map[string]*host
+	suspected map[string]bool
+}
+
+// host is one host of a fleet with a scripted meter and ledger.
+type host struct {
+	*Coordination
+	meter  *fakeMeter
+	ledger *fakeLedger
+	stop   context.CancelFunc
+	// old is set if the host does not know the method; opened counts the streams to it.
+	old    bool
+	opened int
+	// frozen is closed when the host is thawed; nil if it is not frozen.
+	frozen chan struct{}
+}
+
+// withFleet runs a test with n hosts, each in a failure domain of its own, in fake time. They are
+// named h0, h1 ... in the order in which they are preferred as coordinator.
+func withFleet(t *testing.T, n int, run func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{ctx: t.Context(), hosts: map[string]*host{}, suspected: map[string]bool{}}
+		f.state = State{Enabled: true, Hosts: n, Limit: func(string) quota.Limit { return testLimit }}
+		for i := range n {
+			f.state.Candidates = append(f.state.Candidates, Host{Name: fmt.Sprint("h", i), Address: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i)})
+		}
+		f.state.Candidates = Order(f.state.Candidates)
+		for _, h := range f.state.Candidates {
+			f.start(h, false)
+		}
+		defer func() {
+			for _, h := range f.hosts {
+				h.stop()
+			}
+		}()
+		time.Sleep(time.Second)
+		run(f)
+	})
+}
+
+// testLimit is the limit of every team.
+var testLimit = quota.Limit{PerSecond: 10, Burst: 10}
+
+// start starts a host. old is set if it does not know the method.
+func (f *fleet) start(self Host, old bool) *host {
+	ctx, stop := context.WithCancel(f.ctx)
+	h := &host{old: old, meter: &fakeMeter{}, ledger: &fakeLedger{hosts: map[string]int{}}, stop: stop}
+	h.Coordination = New(Config{
+		Host: self.Name, State: f.current, Peers: &client{f}, Meter: h.meter, Ledger: h.ledger, Log: zerolog.Nop(),
+		Suspected: func(address string) bool { return f.isSuspected(address) },
+		Suspect:   func(address string, _ time.Time) { f.suspect(address) },
+	})
+	f.mu.Lock()
+	f.hosts[self.Address] = h
+	f.mu.Unlock()
+	h.Start(ctx)
+	return h
+}
+
+func (f *fleet) current() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+func (f *fleet) isSuspected(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspected[address]
+}
+
+func (f *fleet) suspect(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspected[address] = true
+}
+
+// at returns the host with a position in the order.
+func (f *fleet) at(i int) *host { return f.hosts[f.state.Candidates[i].Address] }
+
+// setEnabled sets whether there is something to coordinate.
+func (f *fleet) setEnabled(enabled bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Enabled = enabled
+}
+
+// kill ends a host's process: its streams are closed and nothing listens any more.
+func (f *fleet) kill(h *host) {
+	f.mu.Lock()
+	for address, other := range f.hosts {
+		if other == h {
+			delete(f.hosts, address)
+		}
+	}
+	f.mu.Unlock()
+	h.stop()
+}
+
+func (f *fleet) find(address string) *host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[address]
+}
+
+// freeze stops all messages from and to a host until thaw.
+func (h *host) freeze() { h.frozen = make(chan struct{}) }
+
+func (h *host) awaitThaw() {
+	if c := h.frozen; c != nil {
+		<-c
+	}
+}
+
+func (h *host) thaw() {
+	c := h.frozen
+	h.frozen = nil
+	close(c)
+}
+
+// client connects one host with the others.
+type client struct{ fleet *fleet }
+
+func (c *client) Coordinate(ctx context.Context, address string, run func(peer.CoordinateStream) error) error {
+	to := c.fleet.find(address)
+	if to == nil {
+		return &peer.UnreachableError{Address: address, Err: errors.New("connection refused")}
+	}
+	to.opened++
+	if to.old {
+		return drpcerr.WithCode(errors.New("unknown rpc"), drpcerr.Unimplemented)
+	}
+	return Connect(ctx, func(s ServerStream) error { return to.Serve(&icyServer{s, to}) }, run)
+}
+
+func (c *client) State(_ context.Context, address string, _ *relaypb.StateRequest) (*relaypb.StateReply, error) {
+	if c.fleet.find(address) == nil {
+		return nil, errors.New("connection refused")
+	}
+	return &relaypb.StateReply{}, nil
+}
+
+func (c *client) CloseIdle(string) {}
+
+// icyServer is the coordinator's end of a stream, which holds messages while the host is frozen.
+type icyServer struct {
+	ServerStream
+	host *host
+}
+
+func (s *icyServer) Send(m *relaypb.CoordinateVerdict) error {
+	s.host.awaitThaw()
+	return s.ServerStream.Send(m)
+}
+
+func (s *icyServer) Recv() (*relaypb.CoordinateReport, error) {
+	m, err := s.ServerStream.Recv()
+	s.host.awaitThaw()
+	return m, err
+}
+
+// fakeMeter asks for every request, and refuses without a coordinator.
+type fakeMeter struct {
+	connected               bool
+	granted, returned, lost int
+	metered                 []string
+}
+
+func (m *fakeMeter) SetHosts(int, int) {}
+func (m *fakeMeter) Take(string, quota.Limit, time.Time) quota.Decision {
+	return quota.Decision{Action: quota.AskFirst}
+}
+func (m *fakeMeter) Granted(_ string, n int, _ time.Time) { m.granted += n }
+func (m *fakeMeter) Return(string, time.Time)             { m.returned++ }
+func (m *fakeMeter) Unanswered(string, quota.Limit, time.Time) quota.Decision {
+	m.lost++
+	return quota.Decision{Action: quota.Refuse, RetryAfter: time.Second}
+}
+func (m *fakeMeter) Connected(time.Time) []quota.Count {
+	m.connected = true
+	return []quota.Count{{Team: "t", Requests: 3, Age: time.Second}}
+}
+func (m *fakeMeter) Heard(metered []string, replace bool, _ time.Time) {
+	if replace {
+		m.metered = metered
+	}
+}
+func (m *fakeMeter) Disconnected(time.Time)         { m.connected = false }
+func (m *fakeMeter) Report(time.Time) []quota.Count { return nil }
+
+// fakeLedger grants what is left.
+type fakeLedger struct {
+	mu sync.Mutex
+	// hosts counts the messages of each connected host; recent sums what they brought with them.
+	hosts   map[string]int
+	recent  int
+	ended   []string
+	left    int
+	metered []string
+	version uint64
+}
+
+func (l *fakeLedger) SetConfig(func(string) quota.Limit, int, time.Time) {}
+func (l *fakeLedger) Join(host string, _ uint64, recent []quota.Count, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts[host] = 0
+	for _, c := range recent {
+		l.recent += c.Requests
+	}
+}
+func (l *fakeLedger) Heard(host string, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts[host]++
+}
+func (l *fakeLedger) Left(host string, ended bool, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.hosts, host)
+	if ended {
+		l.ended = append(l.ended, host)
+	}
+}
+func (l *fakeLedger) Admitted(string, []quota.Count, time.Time) {}
+func (l *fakeLedger) Ask(string, quota.Ask, time.Time) quota.Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.left == 0 {
+		return quota.Grant{RetryAfter: 1500 * time.Microsecond}
+	}
+	l.left--
+	return quota.Grant{Granted: 1}
+}
+func (l *fakeLedger) Metered(time.Time) ([]string, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.metered, l.version + 1
+}
+func (l *fakeLedger) Sweep(time.Time) {}
+
+// connected returns the number of connected hosts.
+func (l *fakeLedger) connected() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.hosts)
+}
+
+func (l *fakeLedger) allow(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left = n
+}
