--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -40,7 +40,7 @@
 			r := f.at(i).take()
 			assert.Equal(t, r.Action, quota.Admit)
 			assert.Equal(t, r.By, ByCoordinator)
-			assert.Equal(t, f.at(i).meter.granted, 1)
+			assert.Equal(t, f.at(i).meter.granted.Load(), int64(1))
 		}
 		r := f.at(2).take()
 		assert.Equal(t, r.Action, quota.Refuse)
@@ -54,16 +54,16 @@
 func TestHostsMoveWhenTheCoordinatorDies(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
 		f.at(1).ledger.allow(1)
-		next, opened := f.at(1), f.at(0).opened
+		next, opened := f.at(1), f.at(0).opened.Load()
 		f.kill(f.at(0))
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, next.ledger.connected(), 3)
 		assert.Equal(t, next.take().Action, quota.Admit)
-		assert.Equal(t, opened, 3)
+		assert.Equal(t, opened, int64(3))
 		time.Sleep(time.Minute)
 		assert.Equal(t, next.ledger.connected(), 3)
-		assert.Equal(t, next.opened, 2, "one stream from each other host")
-		assert.Equal(t, len(f.suspected), 0)
+		assert.Equal(t, next.opened.Load(), int64(2), "one stream from each other host")
+		assert.Equal(t, f.suspects(), 0)
 	})
 }
 
@@ -78,11 +78,11 @@
 		assert.Equal(t, time.Since(began), askTimeout)
 		time.Sleep(silenceTimeout)
 		assert.Equal(t, f.at(1).ledger.connected(), 2)
-		assert.Assert(t, f.suspected[f.state.Candidates[0].Address])
+		assert.Assert(t, f.isSuspected(f.state.Candidates[0].Address))
 		f.at(0).thaw()
 		time.Sleep(time.Second)
 		assert.Equal(t, f.at(0).ledger.connected(), 1, "itself")
-		assert.Equal(t, len(f.at(0).ledger.ended), 0, "the others run")
+		assert.Equal(t, len(f.at(0).ledger.gone()), 0, "the others run")
 		f.mu.Lock()
 		clear(f.suspected)
 		f.mu.Unlock()
@@ -98,8 +98,8 @@
 		old := f.start(f.state.Candidates[0], true)
 		time.Sleep(2*oldVersionCooldown - time.Second)
 		assert.Equal(t, f.at(1).ledger.connected(), 2)
-		assert.Equal(t, len(f.suspected), 0)
-		assert.Assert(t, old.opened <= 2*2, "%d streams", old.opened)
+		assert.Equal(t, f.suspects(), 0)
+		assert.Assert(t, old.opened.Load() <= 2*2, "%d streams", old.opened.Load())
 	})
 }
 
@@ -109,11 +109,11 @@
 		f.setEnabled(false)
 		time.Sleep(pollInterval + time.Millisecond)
 		assert.Equal(t, f.at(0).ledger.connected(), 0)
-		opened := f.at(0).opened
+		opened := f.at(0).opened.Load()
 		r := f.at(1).Take(f.ctx, "t", quota.Limit{}, 0, false)
 		assert.Equal(t, r.Action, quota.Admit)
 		time.Sleep(time.Minute)
-		assert.Equal(t, f.at(0).opened, opened)
+		assert.Equal(t, f.at(0).opened.Load(), opened)
 		f.setEnabled(true)
 		time.Sleep(time.Second)
 		assert.Equal(t, f.at(0).ledger.connected(), 3)
@@ -132,7 +132,7 @@
 		assert.Equal(t, f.at(0).take().Action, quota.Admit)
 		f.at(0).Leave()
 		time.Sleep(time.Millisecond)
-		assert.DeepEqual(t, f.at(1).ledger.ended, []string{f.state.Candidates[0].Name})
+		assert.DeepEqual(t, f.at(1).ledger.gone(), []string{f.state.Candidates[0].Name})
 	})
 }
 
@@ -144,8 +144,8 @@
 		assert.Equal(t, f.at(1).take().By, ByFraction)
 		f.at(0).thaw()
 		time.Sleep(time.Millisecond)
-		assert.Equal(t, f.at(1).meter.granted, 1)
-		assert.Equal(t, f.at(1).meter.returned, 1)
+		assert.Equal(t, f.at(1).meter.granted.Load(), int64(1))
+		assert.Equal(t, f.at(1).meter.returned.Load(), int64(1))
 	})
 }
 
@@ -177,6 +177,7 @@
 		for n := range 3 * maxPendingGrants {
 			slow.reports <- &relaypb.CoordinateReport{Host: "slow", Asks: []*relaypb.TeamAsk{{Id: uint64(n), Count: 1}}}
 		}
+		synctest.Wait()
 		f.at(0).ledger.allow(1)
 		assert.Equal(t, f.at(1).take().Action, quota.Admit)
 		links := make(chan *link, 1)
@@ -194,8 +195,8 @@
 		l.mu.Unlock()
 		f.at(1).take()
 		synctest.Wait()
-		assert.DeepEqual(t, f.at(0).meter.metered, []string{"t"})
-		assert.DeepEqual(t, f.at(1).meter.metered, []string{"t"})
+		assert.DeepEqual(t, *f.at(0).meter.metered.Load(), []string{"t"})
+		assert.DeepEqual(t, *f.at(1).meter.metered.Load(), []string{"t"})
 	})
 }
 
--- /dev/null
+++ b/internal/coordination/drpc_test.go
@@ -0,0 +1,84 @@
+package coordination
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/peer"
+	"github.com/mallowgap/mallowgap/quota"
+)
+
+// relayServer serves Coordinate.
+type relayServer struct {
+	relaypb.DRPCRelayUnimplementedServer
+	coordination *Coordination
+}
+
+func (s *relayServer) Coordinate(stream relaypb.DRPCRelay_CoordinateStream) error {
+	return s.coordination.Serve(stream)
+}
+
+// listen serves a mux and returns its address.
+func listen(t *testing.T, mux *drpcmux.Mux) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = drpcserver.New(mux).Serve(t.Context(), listener) }()
+	return listener.Addr().String()
+}
+
+// Over real connections, a host that closes its stream is told from one whose connection its kernel
+// closed, as when its process ends.
+func TestHostThatMovesIsToldFromOneThatEnded(t *testing.T) {
+	ledger := &fakeLedger{hosts: map[string]int{}}
+	state := State{Hosts: 1, Limit: func(string) quota.Limit { return testLimit }}
+	c := New(Config{State: func() State { return state }, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop()})
+	c.Start(t.Context())
+	mux := drpcmux.New()
+	assert.NilError(t, relaypb.DRPCRegisterRelay(mux, &relayServer{coordination: c}))
+	address := listen(t, mux)
+	client := peer.NewDRPCClient(time.Second, nil)
+	awaitHosts := func(n int) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if ledger.connected() == n {
+				return poll.Success()
+			}
+			return poll.Continue("%d hosts connected", ledger.connected())
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	run := func(name string, end func(s peer.CoordinateStream)) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		_ = client.Coordinate(ctx, address, func(s peer.CoordinateStream) error {
+			assert.NilError(t, s.Send(&relaypb.CoordinateReport{Host: name}))
+			awaitHosts(1)
+			end(s)
+			return nil
+		})
+		cancel()
+		awaitHosts(0)
+	}
+	run("moves", func(s peer.CoordinateStream) { assert.NilError(t, s.Close()) })
+	assert.Equal(t, len(ledger.gone()), 0)
+	run("ends", func(peer.CoordinateStream) {})
+	assert.DeepEqual(t, ledger.gone(), []string{"ends"})
+}
+
+// A host of a version without the method answers with an error that is recognised.
+func TestUnknownMethodIsRecognised(t *testing.T) {
+	address := listen(t, drpcmux.New())
+	err := peer.NewDRPCClient(time.Second, nil).Coordinate(t.Context(), address, func(s peer.CoordinateStream) error {
+		assert.NilError(t, s.Send(&relaypb.CoordinateReport{Host: "h"}))
+		_, err := s.Recv()
+		return err
+	})
+	assert.Assert(t, peer.Unimplemented(err), "%v", err)
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,9 +36,9 @@
 	stop   context.CancelFunc
 	// old is set if the host does not know the method; opened counts the streams to it.
 	old    bool
-	opened int
+	opened atomic.Int64
 	// frozen is closed when the host is thawed; nil if it is not frozen.
-	frozen chan struct{}
+	frozen atomic.Pointer[chan struct{}]
 }
 
 // withFleet runs a test with n hosts, each in a failure domain of its own, in fake time. They are
@@ -99,6 +101,13 @@
 	f.suspected[address] = true
 }
 
+// suspects returns the number of suspected hosts.
+func (f *fleet) suspects() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.suspected)
+}
+
 // at returns the host with a position in the order.
 func (f *fleet) at(i int) *host { return f.hosts[f.state.Candidates[i].Address] }
 
@@ -128,19 +137,18 @@
 }
 
 // freeze stops all messages from and to a host until thaw.
-func (h *host) freeze() { h.frozen = make(chan struct{}) }
+func (h *host) freeze() {
+	c := make(chan struct{})
+	h.frozen.Store(&c)
+}
 
 func (h *host) awaitThaw() {
-	if c := h.frozen; c != nil {
-		<-c
+	if c := h.frozen.Load(); c != nil {
+		<-*c
 	}
 }
 
-func (h *host) thaw() {
-	c := h.frozen
-	h.frozen = nil
-	close(c)
-}
+func (h *host) thaw() { close(*h.frozen.Swap(nil)) }
 
 // client connects one host with the others.
 type client struct{ fleet *fleet }
@@ -150,7 +158,7 @@
 	if to == nil {
 		return &peer.UnreachableError{Address: address, Err: errors.New("connection refused")}
 	}
-	to.opened++
+	to.opened.Add(1)
 	if to.old {
 		return drpcerr.WithCode(errors.New("unknown rpc"), drpcerr.Unimplemented)
 	}
@@ -183,33 +191,30 @@
 	return m, err
 }
 
-// fakeMeter asks for every request, and refuses without a coordinator.
+// fakeMeter asks for every request, and refuses those without an answer.
 type fakeMeter struct {
-	connected               bool
-	granted, returned, lost int
-	metered                 []string
+	granted, returned atomic.Int64
+	metered           atomic.Pointer[[]string]
 }
 
 func (m *fakeMeter) SetHosts(int, int) {}
 func (m *fakeMeter) Take(string, quota.Limit, time.Time) quota.Decision {
 	return quota.Decision{Action: quota.AskFirst}
 }
-func (m *fakeMeter) Granted(_ string, n int, _ time.Time) { m.granted += n }
-func (m *fakeMeter) Return(string, time.Time)             { m.returned++ }
+func (m *fakeMeter) Granted(_ string, n int, _ time.Time) { m.granted.Add(int64(n)) }
+func (m *fakeMeter) Return(string, time.Time)             { m.returned.Add(1) }
 func (m *fakeMeter) Unanswered(string, quota.Limit, time.Time) quota.Decision {
-	m.lost++
 	return quota.Decision{Action: quota.Refuse, RetryAfter: time.Second}
 }
 func (m *fakeMeter) Connected(time.Time) []quota.Count {
-	m.connected = true
 	return []quota.Count{{Team: "t", Requests: 3, Age: time.Second}}
 }
 func (m *fakeMeter) Heard(metered []string, replace bool, _ time.Time) {
 	if replace {
-		m.metered = metered
+		m.metered.Store(&metered)
 	}
 }
-func (m *fakeMeter) Disconnected(time.Time)         { m.connected = false }
+func (m *fakeMeter) Disconnected(time.Time)         {}
 func (m *fakeMeter) Report(time.Time) []quota.Count { return nil }
 
 // fakeLedger grants what is left.
@@ -270,6 +275,13 @@
 	return len(l.hosts)
 }
 
+// gone returns the hosts whose processes have ended.
+func (l *fakeLedger) gone() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.ended)
+}
+
 func (l *fakeLedger) allow(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
