--- a/quota/quota.go
+++ b/quota/quota.go
@@ -16,6 +16,9 @@
 
 import "time"
 
+// maxLimit is the highest rate (requests per second) and burst (requests) of a usable limit.
+const maxLimit = 1e9
+
 // Limit is the request limit of a team over all hosts: a token bucket.
 type Limit struct {
 	// PerSecond is the refill rate in requests per second; 0 means no limit.
@@ -27,7 +30,12 @@
 }
 
 // Limited reports whether there is a limit.
-func (l Limit) Limited() bool { return l.PerSecond > 0 || l.Invalid }
+func (l Limit) Limited() bool { return l.PerSecond != 0 || l.Invalid }
+
+// usable reports whether a limited team may run requests at all.
+func (l Limit) usable() bool {
+	return !l.Invalid && l.PerSecond > 0 && l.Burst >= 0 && l.PerSecond <= maxLimit && l.Burst <= maxLimit
+}
 
 // Bound is by how much a limit may be exceeded at moments when the hosts cannot agree.
 type Bound struct {
@@ -81,31 +89,3 @@
 	// RetryAfter is set if the action is Refuse.
 	RetryAfter time.Duration
 }
-
-// Ledger accounts for the requests of all teams on the coordinator. It is not safe for
-// concurrent use.
-//
-//	NewLedger(bound Bound) *Ledger
-//	SetConfig(limits func(team string) Limit, hosts int, now)      limits in force, number of known hosts
-//	Join(host string, incarnation uint64, recent []Count, now)       a host has connected
-//	Heard(host string, now)                                          a message of the host arrived
-//	Left(host string, ended bool, now)                               its stream ended; ended: the process is known to have ended or left
-//	Admitted(host string, counts []Count, now)                       it admitted requests without asking
-//	Ask(host string, ask Ask, now) Grant
-//	Metered(now) (teams []string, version uint64)                  version changes with the list
-//	Sweep(now)                                                       drops silent hosts and idle teams
-type Ledger struct{}
-
-// Meter decides on the requests of teams at one host. It is not safe for concurrent use.
-//
-//	NewMeter(bound Bound) *Meter
-//	SetHosts(n int)                                                  number of known hosts
-//	Take(team string, limit Limit, now) Decision
-//	Granted(team string, n int, now)                               n requests run on allowances
-//	Return(team string, now)                                       an admitted request was not run
-//	Unanswered(team string, limit Limit, now) Decision             the ledger did not answer an ask in time
-//	Connected(now) (recent []Count)                                  a stream to a ledger has begun
-//	Heard(metered []string, replace bool, now)                       a message of the ledger arrived
-//	Disconnected(now)
-//	Report(now) []Count                                              admitted without allowance since the last report
-type Meter struct{}
