--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Store    control.Store
 	Backends BackendClient
 	Peers    PeerClient
+	// TeamHeader is the name of the header that tells servers the team of a request.
+	TeamHeader string
 	// Suspended returns the total time for which the machine has been suspended since boot. If nil,
 	// it is derived from the system clocks.
 	Suspended func() time.Duration
@@ -46,6 +48,7 @@
 	slowReports *slowReports
 	guard       *guard.Guard
 	suspensions *suspensions
+	teamMetrics *teamMetrics
 	// callerWaits infers, by route, how long callers have already waited.
 	callerWaitsMu sync.Mutex
 	callerWaits   map[string]*admission.WaitEstimator
@@ -71,6 +74,7 @@
 		latency:     newLatencyTracker(settings.GetQuery().GetHedgeQuantile()),
 		slowReports: newSlowReports(f),
 		suspensions: newSuspensions(),
+		teamMetrics: newTeamMetrics(),
 		callerWaits: map[string]*admission.WaitEstimator{},
 		started:     time.Now(),
 	}
