Limits of teams are held by all hosts together

Coordination is wired into the gateway: a request of a limited team is taken from the limit before anything is sent and given back if it is not run; refusals are OverLimit (429 with Retry-After).

--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -37,7 +37,7 @@
 type Ruling struct {
 	quota.Decision
 	By Decider
-	// Coordinator is the coordinator connected at that time; empty if there was none.
+	// Coordinator is the coordinator that decided, or that was connected; empty if there was none.
 	Coordinator string
 	// Hosts is the number of known hosts.
 	Hosts int
@@ -74,8 +74,9 @@
 // ask is an ask for the allowance of one request.
 type ask struct {
 	wire *relaypb.TeamAsk
-	// answered receives the answer.
-	answered chan quota.Grant
+	// answered receives the answer of coordinator.
+	answered    chan quota.Grant
+	coordinator string
 	// expired is when the request stopped waiting; zero while it waits.
 	expired time.Time
 }
@@ -169,7 +170,7 @@
 	defer timer.Stop()
 	select {
 	case g := <-asked.answered:
-		return r.granted(g, began)
+		return r.granted(g, asked.coordinator, began)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -177,7 +178,7 @@
 	defer a.mu.Unlock()
 	select {
 	case g := <-asked.answered:
-		return r.granted(g, began)
+		return r.granted(g, asked.coordinator, began)
 	default:
 	}
 	now := time.Now()
@@ -191,8 +192,8 @@
 }
 
 // granted returns the decision that follows from an answer of the coordinator.
-func (r Ruling) granted(g quota.Grant, began time.Time) Ruling {
-	r.By, r.Waited = ByCoordinator, time.Since(began)
+func (r Ruling) granted(g quota.Grant, coordinator string, began time.Time) Ruling {
+	r.By, r.Coordinator, r.Waited = ByCoordinator, coordinator, time.Since(began)
 	r.Decision = quota.Decision{Action: quota.Refuse, RetryAfter: g.RetryAfter}
 	if g.Granted > 0 {
 		r.Decision = quota.Decision{Action: quota.Admit}
@@ -308,6 +309,7 @@
 		a.meter.Granted(asked.wire.GetTeam(), granted, now)
 	}
 	if asked.expired.IsZero() {
+		asked.coordinator = a.coordinator
 		asked.answered <- quota.Grant{Granted: granted, RetryAfter: millis(g.GetRetryAfterMs())}
 	} else if granted > 0 {
 		a.meter.Return(asked.wire.GetTeam(), now)
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -88,7 +88,7 @@
 	elapsed, objective := l.numberField("elapsed"), l.numberField("objective")
 	missing, status := l.numberField("missing"), l.numberField("status")
 	switch outcome := l.textField("outcome"); {
-	case outcome == "not_run" || outcome == "unauthorized":
+	case outcome == "not_run" || outcome == "over_limit" || outcome == "unauthorized":
 		return resultRefused
 	case outcome == "caller_left":
 		return resultCallerLeft
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -14,15 +14,14 @@
 // admit decides, before any server is asked, whether the servers have capacity for the request. If
 // not, it returns the refusal.
 func (q *query) admit(now time.Time) (Answer, bool) {
-	waited := q.gateway.callerWaited(q.entry.Name, q.request.Timeout, now)
-	offered := admission.Request{Rank: q.rank, Objective: q.objective, Late: waited > q.objective, Wait: q.serverWait(now)}
+	offered := admission.Request{Rank: q.rank, Objective: q.objective, Late: q.waited > q.objective, Wait: q.serverWait(now)}
 	decision := q.groups[0].askGate(offered, now)
 	q.trace.wait, q.trace.probability = offered.Wait, decision.Probability
 	if decision.Admitted {
 		return Answer{}, true
 	}
 	reason := fmt.Sprintf("overloaded: expected wait at the servers %v, objective %v, caller waited %v, admission probability %.2f at rank %d",
-		offered.Wait.Round(time.Millisecond), q.objective, waited, decision.Probability, offered.Rank)
+		offered.Wait.Round(time.Millisecond), q.objective, q.waited, decision.Probability, offered.Rank)
 	return notRun(CauseOverloaded, reason, decision.RetryAfter), false
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,6 +26,8 @@
 	HeaderTooLarge
 	// NotRun: the request was not run and will not be.
 	NotRun
+	// OverLimit: the request is over the limit of its team; it was not run and will not be.
+	OverLimit
 	// Failed: servers failed; the request may have run.
 	Failed
 	// TimedOut: the time limit expired; the request may have run.
@@ -36,7 +38,7 @@
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"forwarded", "gathered", "no_route", "unauthorized", "malformed", "too_large", "header_too_large", "not_run", "failed", "timed_out", "caller_left"}[o]
+	return [...]string{"forwarded", "gathered", "no_route", "unauthorized", "malformed", "too_large", "header_too_large", "not_run", "over_limit", "failed", "timed_out", "caller_left"}[o]
 }
 
 // Cause is the cause of an answer that is not a complete success, for metrics and alerts.
@@ -59,6 +61,8 @@
 	CauseMissingKey Cause = "missing_key"
 	// CauseUnknownKey: no team holds the key of the request, or several do.
 	CauseUnknownKey Cause = "unknown_key"
+	// CauseOverLimit: the request is over the limit of its team.
+	CauseOverLimit Cause = "over_limit"
 	// CauseNoTime: the caller's timeout expired before an attempt was made.
 	CauseNoTime Cause = "no_time"
 	// CauseNoServer: the service has no server in service.
@@ -98,7 +102,7 @@
 	Cause   Cause
 	// Reason says why the request was not served, or not completely.
 	Reason string
-	// RetryAfter is when to retry a request that was not run.
+	// RetryAfter is when to retry a request that was not run or is over the limit of its team.
 	RetryAfter time.Duration
 	// Reply is set if the outcome is Forwarded.
 	Reply *Reply
--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -9,6 +9,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/control"
+	"github.com/mallowgap/mallowgap/internal/peer"
 )
 
 // Request is one attempt of a caller.
@@ -108,4 +109,5 @@
 type PeerClient interface {
 	control.PeerClient
 	Gather(ctx context.Context, address string, request *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error
+	Coordinate(ctx context.Context, address string, run func(peer.CoordinateStream) error) error
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/mallowgap/mallowgap/api/settingspb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/control"
+	"github.com/mallowgap/mallowgap/internal/coordination"
 	"github.com/mallowgap/mallowgap/internal/guard"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/limit"
@@ -49,6 +50,8 @@
 	guard       *guard.Guard
 	suspensions *suspensions
 	teamMetrics *teamMetrics
+	// coordination connects this host with the coordinator of all hosts.
+	coordination *coordination.Coordination
 	// callerWaits infers, by route, how long callers have already waited.
 	callerWaitsMu sync.Mutex
 	callerWaits   map[string]*admission.WaitEstimator
@@ -86,6 +89,7 @@
 		Store:           adapters.Store, Peers: adapters.Peers, Listener: controlListener{g}, Suspended: adapters.Suspended, Log: log,
 	})
 	g.peerHealth = g.control.Health()
+	g.coordination = g.newCoordination()
 	return g
 }
 
@@ -138,6 +142,7 @@
 // which may have died silently during the suspension.
 func (l controlListener) Resumed(duration time.Duration) {
 	l.gateway.suspensions.add(duration)
+	l.gateway.coordination.Resumed()
 	go func() {
 		for _, server := range l.gateway.fleet.servers() {
 			l.gateway.adapters.Backends.CloseIdle(server)
@@ -192,6 +197,7 @@
 func (g *Gateway) Start(ctx context.Context) {
 	ctx, g.stop = context.WithCancel(ctx)
 	g.control.Start(ctx)
+	g.coordination.Start(ctx)
 	go g.sweepQuarantine(ctx)
 }
 
@@ -213,6 +219,7 @@
 func (g *Gateway) BeginStop(ctx context.Context) {
 	g.stopping.Store(true)
 	g.control.BeginStop(ctx)
+	g.coordination.BeginStop()
 }
 
 // InFlight returns the number of requests being served for callers and peers.
@@ -230,6 +237,8 @@
 
 // Close stops the background tasks and waits for them.
 func (g *Gateway) Close() {
+	g.coordination.Leave()
 	g.stop()
 	g.control.Wait()
+	g.coordination.Wait()
 }
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -58,10 +58,12 @@
 	view    *control.View
 	entry   *route.Entry
 	// rank is the rank of the request; 0 is the highest.
-	rank       uint32
-	request    *Request
-	trace      *trace
-	objective  time.Duration
+	rank      uint32
+	request   *Request
+	trace     *trace
+	objective time.Duration
+	// waited is how long the caller is estimated to have waited before this attempt.
+	waited     time.Duration
 	end        time.Time
 	dispatchBy time.Time
 	// due is when all parts must have arrived for the answer to meet the objective.
--- /dev/null
+++ b/internal/gateway/quota.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/mallowgap/mallowgap/internal/coordination"
+	"github.com/mallowgap/mallowgap/quota"
+	"github.com/mallowgap/mallowgap/team"
+)
+
+// patienceShare is the share of the time that a caller has left for which it waits when it is told
+// to retry.
+const patienceShare = 1.0 / 3
+
+// takeQuota takes a request from the limit of its team, before it is sent anywhere. If the limit is
+// exceeded, it returns the refusal.
+func (q *query) takeQuota(ctx context.Context, member *team.Team) (Answer, bool) {
+	if member == nil || !member.Limit.Limited() {
+		return Answer{}, true
+	}
+	patience := time.Duration(patienceShare * float64(max(q.request.Timeout, 0)))
+	ruling := q.gateway.coordination.Take(ctx, member.Name, member.Limit, patience, q.waited >= minRetryAfter)
+	q.trace.quota = describeRuling(ruling, q.waited)
+	if ruling.Action == quota.Refuse {
+		reason := fmt.Sprintf("over the limit of team %s (%g requests/s, burst %g): refused by %s", member.Name, member.Limit.PerSecond, member.Limit.Burst, q.trace.quota)
+		return Answer{Outcome: OverLimit, Cause: CauseOverLimit, Reason: reason, RetryAfter: max(ruling.RetryAfter, minRetryAfter)}, false
+	}
+	if ctx.Err() != nil {
+		q.gateway.coordination.Return(member.Name)
+		return Answer{Outcome: CallerLeft, Cause: CauseCallerLeft, Reason: "the caller closed its connection"}, false
+	}
+	return Answer{}, true
+}
+
+// settleQuota gives the request back to the limit of its team if it was not run, and returns the
+// answer.
+func (q *query) settleQuota(member *team.Team, a Answer) Answer {
+	if a.Outcome == NotRun && member != nil && member.Limit.Limited() {
+		q.gateway.coordination.Return(member.Name)
+	}
+	return a
+}
+
+// describeRuling says who decided on a request, and with which inputs.
+func describeRuling(r coordination.Ruling, waited time.Duration) string {
+	by := "this host"
+	switch r.By {
+	case coordination.ByCoordinator:
+		by = "coordinator " + r.Coordinator
+	case coordination.ByFraction:
+		by = fmt.Sprintf("the own fraction of this host (1/%d)", max(r.Hosts, 1))
+		if r.Coordinator != "" {
+			by += ", as coordinator " + r.Coordinator + " did not answer"
+		}
+	}
+	return fmt.Sprintf("%s after %v, caller waited %v", by, r.Waited.Round(time.Microsecond), waited)
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -40,6 +40,8 @@
 	// resulted.
 	wait        time.Duration
 	probability float64
+	// quota is who allowed a request of a limited team, or refused it, and with which inputs.
+	quota string
 	// limit is how long the query could take from its arrival.
 	limit time.Duration
 	// servers lists the servers that were sent a request that is not a query.
@@ -105,6 +107,9 @@
 	if a.Outcome == Gathered {
 		e = e.Int("parts", len(a.Gathered.Signatures)).Int("missing", a.Gathered.Missing)
 	}
+	if t.quota != "" {
+		e = e.Str("quota", t.quota)
+	}
 	if t.wait > 0 {
 		e = e.Dur("expected_wait", t.wait).Float64("chance", t.probability)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -127,6 +127,14 @@
 	if q.lacksServers(time.Now()) {
 		return q.absentAnswer(time.Now())
 	}
+	if refused, ok := q.takeQuota(ctx, member); !ok {
+		return refused
+	}
+	return q.settleQuota(member, q.serveAllowed(ctx))
+}
+
+// serveAllowed serves a request that is within the limit of its team.
+func (q *query) serveAllowed(ctx context.Context) Answer {
 	if refused, ok := q.admit(time.Now()); !ok {
 		return refused
 	}
@@ -143,6 +151,7 @@
 	objective := entry.EffectiveObjective()
 	q := &query{
 		gateway: g, view: v, entry: entry, rank: rank, request: r, trace: t, objective: objective,
+		waited:     g.callerWaited(entry.Name, r.Timeout, time.Now()),
 		end:        r.Arrived.Add(timeout - endMargin),
 		dispatchBy: r.Arrived.Add(time.Duration(dispatchShare * float64(objective))),
 	}
--- a/internal/gateway/team.go
+++ b/internal/gateway/team.go
@@ -28,7 +28,7 @@
 	switch {
 	case a.Outcome == Forwarded && a.Reply.OK() || a.Outcome == Gathered:
 		return teamServed
-	case a.Outcome == NotRun:
+	case a.Outcome == NotRun || a.Outcome == OverLimit:
 		return teamRefused
 	}
 	return teamFailed
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -23,6 +23,8 @@
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/internal/control/fakestore"
+	"github.com/mallowgap/mallowgap/internal/coordination"
+	"github.com/mallowgap/mallowgap/internal/peer"
 	"github.com/mallowgap/mallowgap/internal/settings"
 	"github.com/mallowgap/mallowgap/route"
 )
@@ -375,6 +377,41 @@
 	return g.Follow(m, &fakeFollowStream{fakeStream{ctx: ctx}, p, address, received})
 }
 
+// Coordinate connects with the coordination of a host; a host that is cut off gets and sends nothing.
+func (p *fakePeers) Coordinate(ctx context.Context, address string, run func(peer.CoordinateStream) error) error {
+	g, cut := p.find(address)
+	if g == nil || cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return coordination.Connect(ctx, func(s coordination.ServerStream) error {
+		return g.coordination.Serve(&fakeCoordinateStream{s, p, address})
+	}, run)
+}
+
+// fakeCoordinateStream loses the messages of a coordinator that is cut off.
+type fakeCoordinateStream struct {
+	coordination.ServerStream
+	peers   *fakePeers
+	address string
+}
+
+func (s *fakeCoordinateStream) Send(m *relaypb.CoordinateVerdict) error {
+	if _, cut := s.peers.find(s.address); cut {
+		return nil
+	}
+	return s.ServerStream.Send(m)
+}
+
+func (s *fakeCoordinateStream) Recv() (*relaypb.CoordinateReport, error) {
+	for {
+		m, err := s.ServerStream.Recv()
+		if _, cut := s.peers.find(s.address); !cut || err != nil {
+			return m, err
+		}
+	}
+}
+
 // fakeFollowStream delivers each message at once unless the peer is cut off.
 type fakeFollowStream struct {
 	fakeStream
--- a/route/table.go
+++ b/route/table.go
@@ -22,6 +22,8 @@
 	shardSets  [][]string
 	routeNames map[string]bool
 	teams      *team.Directory
+	// limitsTeams is set if a team has a limit.
+	limitsTeams bool
 }
 
 // Entry is a route of a table.
@@ -52,6 +54,7 @@
 	t.computeMaxMissing()
 	if len(config.Teams) > 0 {
 		t.teams = team.NewDirectory(config.Teams)
+		t.limitsTeams = slices.ContainsFunc(config.Teams, func(t team.Team) bool { return t.Limit.Limited() })
 		t.config.Teams = nil // The directory holds no key in clear.
 	}
 	return t
@@ -109,6 +112,9 @@
 // Teams returns the teams of the configuration, or nil if it has none.
 func (t *Table) Teams() *team.Directory { return t.teams }
 
+// LimitsTeams reports whether a team of the configuration has a limit.
+func (t *Table) LimitsTeams() bool { return t.limitsTeams }
+
 // Service returns the named service. If the configuration does not describe it,
 // only its name is set.
 func (t *Table) Service(name string) Service {
