--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -208,3 +208,29 @@
 	assert.Assert(t, !endedByPeer(drpc.ClosedError.Wrap(syscall.ETIMEDOUT)))
 	assert.Assert(t, !endedByPeer(errors.New("invalid message")))
 }
+
+// Streams that break again and again, so that hosts report the same requests anew, do not let a
+// team exceed its limit.
+func TestReconnectsDoNotAdmitMore(t *testing.T) {
+	bound := &quota.Bound{Window: 5 * time.Second, Slack: 20}
+	withQuotas(t, 3, bound, func(f *fleet) {
+		const step = 20 * time.Millisecond
+		var admitted []time.Time
+		for n := range 1500 {
+			if h := f.at(n % 3); h.Take(f.ctx, "t", testLimit, 0, false).Action == quota.Admit {
+				admitted = append(admitted, time.Now())
+			}
+			if n%25 == 0 {
+				f.at(n / 25 % 3).Resumed()
+			}
+			time.Sleep(step)
+		}
+		allowed := int(testLimit.PerSecond*bound.Window.Seconds() + testLimit.Burst + bound.Slack)
+		for i := range admitted {
+			if j := i + allowed; j < len(admitted) {
+				assert.Assert(t, admitted[j].Sub(admitted[i]) > bound.Window, "%d admitted within %v", allowed+1, admitted[j].Sub(admitted[i]))
+			}
+		}
+		assert.Assert(t, len(admitted) > 100, "%d admitted", len(admitted))
+	})
+}
--- a/internal/coordination/drpc_test.go
+++ b/internal/coordination/drpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,6 +36,17 @@
 	return listener.Addr().String()
 }
 
+// await waits until a condition holds.
+func await(t *testing.T, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("the condition does not hold")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 // Over real connections, a host that closes its stream is told from one whose connection its kernel
 // closed, as when its process ends.
 func TestHostThatMovesIsToldFromOneThatEnded(t *testing.T) {
@@ -46,14 +58,7 @@
 	assert.NilError(t, relaypb.DRPCRegisterRelay(mux, &relayServer{coordination: c}))
 	address := listen(t, mux)
 	client := peer.NewDRPCClient(time.Second, nil)
-	awaitHosts := func(n int) {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if ledger.connected() == n {
-				return poll.Success()
-			}
-			return poll.Continue("%d hosts connected", ledger.connected())
-		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
-	}
+	awaitHosts := func(n int) { await(t, func() bool { return ledger.connected() == n }) }
 	run := func(name string, end func(s peer.CoordinateStream)) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -82,3 +87,26 @@
 	})
 	assert.Assert(t, peer.Unimplemented(err), "%v", err)
 }
+
+// A host gets its answers over a real connection, and the coordinator learns that it leaves.
+func TestSessionOverRealConnection(t *testing.T) {
+	ledger := &fakeLedger{hosts: map[string]int{}, left: 1}
+	state := State{Hosts: 2, Enabled: true, Limit: func(string) quota.Limit { return testLimit }}
+	noState := State{Hosts: 2, Limit: state.Limit}
+	server := New(Config{State: func() State { return noState }, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop()})
+	server.Start(t.Context())
+	mux := drpcmux.New()
+	assert.NilError(t, relaypb.DRPCRegisterRelay(mux, &relayServer{coordination: server}))
+	state.Candidates = []Host{{Name: "server", Address: listen(t, mux)}}
+	host := New(Config{
+		Host: "host", State: func() State { return state }, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop(),
+		Peers: peer.NewDRPCClient(time.Second, nil), Suspected: func(string) bool { return false }, Suspect: func(string, time.Time) {},
+	})
+	host.Start(t.Context())
+	await(t, func() bool {
+		r := host.Take(t.Context(), "t", testLimit, 0, false)
+		return r.Action == quota.Admit && r.Coordinator == "server"
+	})
+	host.Leave()
+	await(t, func() bool { return slices.Equal(ledger.gone(), []string{"host"}) })
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -22,6 +22,7 @@
 // fleet is a set of hosts that reach each other in memory, in fake time.
 type fleet struct {
 	ctx       context.Context
+	bound     *quota.Bound
 	mu        sync.Mutex
 	state     State
 	hosts     map[string]*host
@@ -41,11 +42,13 @@
 	frozen atomic.Pointer[chan struct{}]
 }
 
-// withFleet runs a test with n hosts, each in a failure domain of its own, in fake time. They are
-// named h0, h1 ... in the order in which they are preferred as coordinator.
-func withFleet(t *testing.T, n int, run func(f *fleet)) {
+// withFleet runs a test with n hosts, each in a failure domain of its own, in fake time.
+func withFleet(t *testing.T, n int, run func(f *fleet)) { withQuotas(t, n, nil, run) }
+
+// withQuotas runs a test with n hosts that have real meters and ledgers if there is a bound.
+func withQuotas(t *testing.T, n int, bound *quota.Bound, run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{ctx: t.Context(), hosts: map[string]*host{}, suspected: map[string]bool{}}
+		f := &fleet{bound: bound, ctx: t.Context(), hosts: map[string]*host{}, suspected: map[string]bool{}}
 		f.state = State{Enabled: true, Hosts: n, Limit: func(string) quota.Limit { return testLimit }}
 		for i := range n {
 			f.state.Candidates = append(f.state.Candidates, Host{Name: fmt.Sprint("h", i), Address: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i)})
@@ -71,11 +74,15 @@
 func (f *fleet) start(self Host, old bool) *host {
 	ctx, stop := context.WithCancel(f.ctx)
 	h := &host{old: old, meter: &fakeMeter{}, ledger: &fakeLedger{hosts: map[string]int{}}, stop: stop}
-	h.Coordination = New(Config{
+	config := Config{
 		Host: self.Name, State: f.current, Peers: &client{f}, Meter: h.meter, Ledger: h.ledger, Log: zerolog.Nop(),
 		Suspected: func(address string) bool { return f.isSuspected(address) },
 		Suspect:   func(address string, _ time.Time) { f.suspect(address) },
-	})
+	}
+	if f.bound != nil {
+		config.Meter, config.Ledger = quota.NewMeter(*f.bound), quota.NewLedger(*f.bound)
+	}
+	h.Coordination = New(config)
 	f.mu.Lock()
 	f.hosts[self.Address] = h
 	f.mu.Unlock()
