SharedGate decides on admission for the gates of all hosts

Cause: a host with a third of a request a second learns the wait at the servers too late with its own requests, and its gain is small: in an overload nearly all requests are admitted and fail at their deadline.

Change: admission.SharedGate takes the work offered at all hosts and the wait at the servers, infers the capacity from both and tells the hosts with which probability to admit each class: late callers are refused first, then the lowest rank; returning callers get what is free and a small reserve; teams get max-min parts. Gate applies a verdict for a second (ApplyVerdict) and decides alone otherwise, as before.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -2,7 +2,9 @@
 // refused before they reach a backend server.
 //
 // Queue orders waiting requests where one host has the slots of the servers. Gate
-// refuses a share of the requests on arrival where many hosts share the servers.
+// refuses a share of the requests on arrival where many hosts share the servers. SharedGate
+// decides the shares for the gates of all hosts, where each has too few requests to learn the
+// state of the servers.
 // WaitEstimator infers how long a caller has waited since its first attempt, which
 // decides whether its request is late for a Gate.
 //
@@ -17,4 +19,8 @@
 // waits in the gate; late requests are refused first, then those of the lowest rank,
 // except that a small share of the admitted work is reserved for each rank below the
 // highest.
+//
+// Invariants of a SharedGate: its verdict is one that a Gate accepts, for any reports; a class
+// that is not refused is not listed; its state is bounded by a number of ranks and teams, and
+// forgets both after seconds.
 package admission
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,8 +67,9 @@
 )
 
 // Gate decides on arrival whether a request is admitted to servers shared by many
-// hosts. Each host has its own gate and the gates do not communicate, but all hosts observe
-// the same wait at the servers. A gate refuses a share of the
+// hosts. Each host has its own gate. While it has a recent verdict of a SharedGate, that
+// decides. Otherwise the gates do not communicate, but all hosts observe
+// the same wait at the servers: a gate refuses a share of the
 // offered work that grows while the wait is above its target and shrinks while it is
 // below (a PI controller, as in the PIE queue management algorithm), so that all hosts
 // converge to about the same share, however unevenly requests are spread. Callers that
@@ -85,6 +86,10 @@
 	lastWait     float64
 	lastAt       time.Time
 	meanInterval time.Duration
+	// verdict is the last valid verdict, received at verdictAt; shared is set while it decides.
+	verdict   Verdict
+	verdictAt time.Time
+	shared    bool
 	// overloadStart is when the current overload began, lastRefusal when a request was
 	// last refused.
 	overloadStart, lastRefusal time.Time
@@ -97,10 +102,8 @@
 	// late is set if the state is that of requests whose objective has already passed.
 	late      bool
 	objective time.Duration
-	lastAt    time.Time
-	// work is the recently offered work, in seconds of server time, exponentially
-	// decayed.
-	work float64
+	// work is the recently offered work, in seconds of server time, as of the last request.
+	work decayedSum
 	// cost is the smoothed server time of one request.
 	cost time.Duration
 }
@@ -114,6 +117,10 @@
 	// Late is set if more time than the objective has passed since the caller's first
 	// attempt.
 	Late bool
+	// Returning is set if the caller returns after a refusal, no sooner than it was told.
+	Returning bool
+	// Team is the team of the caller, or empty.
+	Team string
 	// Wait is the estimated time that the request would wait at the servers.
 	Wait time.Duration
 }
@@ -125,6 +132,11 @@
 	Probability float64
 	// RetryAfter is the delay after which a refused caller should try again.
 	RetryAfter time.Duration
+	// Shared is set if a verdict decided, which is VerdictAge old.
+	Shared     bool
+	VerdictAge time.Duration
+	// Offered is the request as work to be reported to the SharedGate.
+	Offered Offered
 }
 
 // NewGate returns a gate that refuses nothing yet. rng is used to decide admissions and for
@@ -148,28 +160,63 @@
 func (g *Gate) Offer(request Request, now time.Time) Decision {
 	index := g.record(request, now)
 	g.updateShare(request.Wait, now)
-	p := g.admitProbability(index)
-	if p >= 1 || g.rng.Float64() < p {
-		return Decision{Admitted: true, Probability: p}
+	decision := Decision{Probability: g.admitProbability(index), Offered: g.ranks[index].offered(request)}
+	class, shared := g.sharedVerdict(request, now)
+	g.shared = shared
+	if shared {
+		decision.Shared, decision.VerdictAge, decision.Probability = true, now.Sub(g.verdictAt), class.Probability
+	}
+	if decision.Probability >= 1 || g.rng.Float64() < decision.Probability {
+		decision.Admitted = true
+		return decision
 	}
 	if now.Sub(g.lastRefusal) > overloadEnd {
 		g.overloadStart = now
 	}
 	g.lastRefusal = now
-	return Decision{Probability: p, RetryAfter: g.retryAfter(request, index, now)}
+	if shared {
+		decision.RetryAfter = max(class.RetryAfter+time.Duration(g.rng.Float64()*float64(class.Spread)), minTarget)
+	} else {
+		decision.RetryAfter = g.retryAfter(request, index, now)
+	}
+	return decision
+}
+
+// offered returns a request as offered work.
+func (r *rankState) offered(request Request) Offered {
+	class := Class{Rank: request.Rank, Late: request.Late, Returning: request.Returning, Team: request.Team}
+	return Offered{Class: class, Requests: 1, Work: r.cost, Objective: request.Objective}
+}
+
+// ApplyVerdict lets a verdict received at now decide until it is replaced or too old. A verdict
+// out of range also ends the one before.
+func (g *Gate) ApplyVerdict(v Verdict, now time.Time) {
+	if !v.valid() {
+		v, now = Verdict{}, time.Time{}
+	}
+	g.verdict, g.verdictAt = v, now
+}
+
+// sharedVerdict returns the verdict on the class of a request, or false if there is none that is
+// recent.
+func (g *Gate) sharedVerdict(request Request, now time.Time) (ClassVerdict, bool) {
+	if g.verdictAt.IsZero() || now.Sub(g.verdictAt) > MaxVerdictAge {
+		return ClassVerdict{}, false
+	}
+	return g.verdict.find(Class{Rank: request.Rank, Late: request.Late, Returning: request.Returning, Team: request.Team}), true
 }
 
 // record adds a request to the offered work and returns the index of its rank. Ranks
 // without recent requests are dropped.
 func (g *Gate) record(request Request, now time.Time) int {
-	g.ranks = slices.DeleteFunc(g.ranks, func(r *rankState) bool { return r.compare(request) != 0 && now.Sub(r.lastAt) > rankExpiry })
+	g.ranks = slices.DeleteFunc(g.ranks, func(r *rankState) bool { return r.compare(request) != 0 && now.Sub(r.work.at) > rankExpiry })
 	i, known := slices.BinarySearchFunc(g.ranks, request, (*rankState).compare)
 	if !known {
-		g.ranks = slices.Insert(g.ranks, i, &rankState{rank: request.Rank, late: request.Late, lastAt: now, cost: g.rankCost(request.Rank)})
+		g.ranks = slices.Insert(g.ranks, i, &rankState{rank: request.Rank, late: request.Late, cost: g.rankCost(request.Rank)})
 	}
 	r := g.ranks[i]
-	r.work = r.work*math.Exp(-float64(now.Sub(r.lastAt))/float64(workDecay)) + r.cost.Seconds()
-	r.objective, r.lastAt = request.Objective, now
+	r.work.add(r.cost.Seconds(), workDecay, now)
+	r.objective = request.Objective
 	return i
 }
 
@@ -197,8 +244,7 @@
 
 // updateShare runs one step of the controller with the wait observed at now.
 func (g *Gate) updateShare(wait time.Duration, now time.Time) {
-	target := max(targetShare*float64(g.ranks[0].objective), float64(minTarget))
-	ratio := float64(wait) / target
+	ratio := float64(wait) / float64(targetWait(g.ranks[0].objective))
 	step := min(now.Sub(g.lastAt), maxStep)
 	g.meanInterval += time.Duration(costSmoothing * float64(min(now.Sub(g.lastAt), rankExpiry)-g.meanInterval))
 	gain := min(1, float64(fullGainInterval)/float64(max(g.meanInterval, 1)))
@@ -211,6 +257,12 @@
 	g.lastWait, g.lastAt = ratio, now
 }
 
+// targetWait returns the wait at the servers to aim for, given the objective of the highest
+// active rank.
+func targetWait(objective time.Duration) time.Duration {
+	return max(time.Duration(targetShare*float64(objective)), minTarget)
+}
+
 // admitProbability returns the probability with which a request of the index-th rank is
 // admitted. Refusals are taken from the lowest rank first, down to its floor, then from
 // the next higher rank.
@@ -218,22 +270,22 @@
 	total := g.offeredWork()
 	excess := g.refusedShare * total
 	for i := len(g.ranks) - 1; i > index; i-- {
-		excess -= (1 - g.floor(i)) * g.ranks[i].work
+		excess -= (1 - g.floor(i)) * g.ranks[i].work.value
 	}
 	if excess <= 0 {
 		return 1
 	}
-	if g.ranks[index].work == 0 {
+	if g.ranks[index].work.value == 0 {
 		return 1 // The cost is not known yet.
 	}
-	return max(g.floor(index), 1-excess/g.ranks[index].work)
+	return max(g.floor(index), 1-excess/g.ranks[index].work.value)
 }
 
 // offeredWork returns the recently offered work of all ranks, in seconds of server time.
 func (g *Gate) offeredWork() float64 {
 	total := 0.0
 	for _, r := range g.ranks {
-		total += r.work
+		total += r.work.value
 	}
 	return total
 }
@@ -242,22 +294,38 @@
 // highest rank and for late requests.
 func (g *Gate) floor(index int) float64 {
 	r := g.ranks[index]
-	if index == 0 || r.late || r.work == 0 {
+	if index == 0 || r.late || r.work.value == 0 {
 		return 0
 	}
-	return min(1, floorShare*(1-g.refusedShare)*g.offeredWork()/r.work)
+	return min(1, floorShare*(1-g.refusedShare)*g.offeredWork()/r.work.value)
 }
 
 // Overloaded reports whether the gate refuses so much that a hedge would only displace
 // another request.
-func (g *Gate) Overloaded() bool { return g.refusedShare > overloadThreshold }
+func (g *Gate) Overloaded() bool {
+	if g.shared {
+		return g.verdict.RefusedShare > overloadThreshold
+	}
+	return g.refusedShare > overloadThreshold
+}
 
 // retryAfter returns the delay after which a refused caller should try again. An
 // overload is expected to last as long again as it has lasted so far; retries are
 // jittered over that time, and those of lower ranks are delayed further.
 func (g *Gate) retryAfter(request Request, index int, now time.Time) time.Duration {
-	shortest := max(time.Duration(minRetryShare*float64(request.Objective)), minTarget)
-	delay := min(max(now.Sub(g.overloadStart), shortest), maxRetryDelay)
+	delay := min(max(now.Sub(g.overloadStart), ShortestRetry(request.Objective)), maxRetryDelay)
 	delay += time.Duration(g.rng.Float64() * float64(delay))
-	return delay + time.Duration(rankRetryStep*float64(min(index, maxRankSteps))*float64(delay))
+	return delay + rankDelay(delay, index)
+}
+
+// ShortestRetry returns the shortest retry delay that a gate tells a caller with the given
+// objective. Whoever returns sooner has not waited as told.
+func ShortestRetry(objective time.Duration) time.Duration {
+	return max(time.Duration(minRetryShare*float64(objective)), minTarget)
+}
+
+// rankDelay returns the extra delay of callers of the index-th rank, where that of the
+// highest is delay.
+func rankDelay(delay time.Duration, index int) time.Duration {
+	return time.Duration(rankRetryStep * float64(min(index, maxRankSteps)) * float64(delay))
 }
--- a/admission/shared.go
+++ b/admission/shared.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+const (
+	// MaxVerdictAge is the age at which a verdict no longer decides. It is longer than two
+	// intervals between heartbeats of the coordinator.
+	MaxVerdictAge = time.Second
+	// maxVerdictClasses and maxVerdictTime bound what a verdict in range may contain. A SharedGate
+	// lists at most the four classes and the listed teams of each rank.
+	maxVerdictClasses = maxRanks * (4 + 2*maxListedTeams)
+	maxVerdictTime    = time.Minute
+)
+
 // Class is a class of requests for one service that are admitted alike.
 type Class struct {
 	Rank uint32
@@ -41,3 +51,37 @@
 	// Spread is the span over which returns are to be spread.
 	RetryAfter, Spread time.Duration
 }
+
+// valid reports whether all parts of a verdict are within their ranges.
+func (v Verdict) valid() bool {
+	if !isShare(v.RefusedShare) || !isVerdictTime(v.Wait) || len(v.Classes) > maxVerdictClasses {
+		return false
+	}
+	for _, c := range v.Classes {
+		if !isShare(c.Probability) || !isVerdictTime(c.RetryAfter) || !isVerdictTime(c.Spread) {
+			return false
+		}
+	}
+	return true
+}
+
+func isShare(x float64) bool { return x >= 0 && x <= 1 }
+
+func isVerdictTime(d time.Duration) bool { return d >= 0 && d <= maxVerdictTime }
+
+// find returns the verdict on a class: that of its team if there is one, otherwise that of all
+// teams. A class that is not listed is admitted.
+func (v Verdict) find(class Class) ClassVerdict {
+	all := class
+	all.Team = ""
+	found := ClassVerdict{Class: class, Probability: 1}
+	for _, c := range v.Classes {
+		if c.Class == class {
+			return c
+		}
+		if c.Class == all {
+			found = c
+		}
+	}
+	return found
+}
