Hosts of a large fleet decide on admission together

Change: from [coordination] min_hosts hosts on, hosts report the work offered to their gates, and those that call servers the load of these; the coordinator computes the wait of each gate (route.Table.Gate, replica.Set.ApplyLoad) and its verdict; hosts apply it. The line of a request tells which gate decided and how old the verdict was; the coordinator logs changes of the refused share. Smaller fleets are as before.

--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -221,6 +221,10 @@
 type serverChange struct {
 	// runTime is how long the request ran at the server; 0 is unknown.
 	runTime time.Duration
+	// serviceTime is the smoothed run time of requests at the server; 0 is unknown. inFlight is the
+	// number of calls of this host in flight there.
+	serviceTime time.Duration
+	inFlight    int
 	// ejected reports that the server was ejected after failures, absent that nothing listens at
 	// its address any more, returned that an absent server answered again.
 	ejected, absent, returned bool
@@ -246,6 +250,7 @@
 	}
 	if e.load.Known {
 		change.runTime = g.set.ReportQueue(i, e.load.Waiting, e.atServer, now)
+		change.serviceTime, change.inFlight = g.set.ServiceTime(i), leaf.Slots.InUse()
 	}
 	if e.absent {
 		g.set.MarkAbsent(i, now)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -40,6 +40,10 @@
 	// resulted.
 	wait        time.Duration
 	probability float64
+	// shared is set if the verdict of the coordinator decided on admission, which was verdictAge
+	// old.
+	shared     bool
+	verdictAge time.Duration
 	// quota is who allowed a request of a limited team, or refused it, and with which inputs.
 	quota string
 	// limit is how long the query could take from its arrival.
@@ -63,6 +67,14 @@
 	t.notes = append(t.notes, fmt.Sprintf(format, args...))
 }
 
+// gateName says which gate decided on admission: that of this host, or the one of all hosts.
+func (t *trace) gateName() string {
+	if t.shared {
+		return "shared"
+	}
+	return "own"
+}
+
 // logGather logs the calls that this host made for a peer.
 func (g *Gateway) logGather(m *relaypb.GatherRequest, results []*relaypb.CallResult, elapsed time.Duration) {
 	log := &g.requestLog.good
@@ -110,8 +122,11 @@
 	if t.quota != "" {
 		e = e.Str("quota", t.quota)
 	}
-	if t.wait > 0 {
-		e = e.Dur("expected_wait", t.wait).Float64("chance", t.probability)
+	if t.wait > 0 || t.shared {
+		e = e.Dur("expected_wait", t.wait).Float64("chance", t.probability).Str("gate", t.gateName())
+	}
+	if t.shared {
+		e = e.Dur("verdict_age", t.verdictAge)
 	}
 	if t.fingerprint != "" {
 		e = e.Str("fingerprint", t.fingerprint)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -62,6 +62,9 @@
 	}
 	change := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: serverTime(out, elapsed), load: out.load, absent: out.absent || out.serverCrashed}, now)
 	out.runTime = change.runTime
+	if out.load.Known && g.sharesGates(g.control.View()) {
+		g.coordination.ObserveLoad(c.backend.ID, out.load.Waiting, change.serviceTime, change.inFlight)
+	}
 	g.logServerChange(c.backend, change, out.reason)
 	if out.load.Unreadable != "" {
 		g.logUnreadable(c.backend, out.load.Unreadable)
--- /dev/null
+++ b/internal/gateway/sharedgate.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/mallowgap/mallowgap/admission"
+	"github.com/mallowgap/mallowgap/internal/control"
+	"github.com/mallowgap/mallowgap/internal/coordination"
+	"github.com/mallowgap/mallowgap/internal/obs"
+	"github.com/mallowgap/mallowgap/replica"
+)
+
+const (
+	// gateExpiry is the time without requests after which the shared gate of a service is forgotten.
+	gateExpiry = 10 * time.Second
+	// gateLinesPerSecond limits the log lines of one process about shared gates.
+	gateLinesPerSecond = 5
+	// loggedShareStep is the change of the refused share that is logged.
+	loggedShareStep = 0.1
+)
+
+// sharesGates reports whether the hosts decide on admission together.
+func (g *Gateway) sharesGates(v *control.View) bool {
+	minHosts := int(g.settings.GetCoordination().GetMinHosts())
+	return minHosts > 0 && v.HostCount >= minHosts
+}
+
+// gateKeeper decides on admission for all hosts while this host coordinates. It implements
+// coordination.GateKeeper, whose methods one goroutine calls.
+type gateKeeper struct {
+	gateway *Gateway
+	log     zerolog.Logger
+	// gates holds the gates by their name, the first service of the routes.
+	gates map[string]*keptGate
+}
+
+// keptGate is the shared gate of the servers of some routes.
+type keptGate struct {
+	*admission.SharedGate
+	offeredAt time.Time
+	// refusing reports whether the last verdict refused requests, loggedShare the refused share that
+	// was last logged.
+	refusing    bool
+	loggedShare float64
+}
+
+func newGateKeeper(g *Gateway) *gateKeeper {
+	return &gateKeeper{gateway: g, log: obs.RateLimited(g.log, gateLinesPerSecond), gates: map[string]*keptGate{}}
+}
+
+// Offered implements coordination.GateKeeper. Gates that the configuration does not have are ignored.
+func (k *gateKeeper) Offered(_, service string, offered []admission.Offered, now time.Time) {
+	table := k.gateway.control.View().Table
+	if table == nil {
+		return
+	}
+	if _, ok := table.Gate(service); !ok {
+		return
+	}
+	gate := k.gates[service]
+	if gate == nil {
+		gate = &keptGate{SharedGate: admission.NewSharedGate()}
+		k.gates[service] = gate
+	}
+	gate.offeredAt = now
+	gate.Offered(offered, now)
+}
+
+// Loads implements coordination.GateKeeper.
+func (k *gateKeeper) Loads(host string, loads []coordination.Load, now time.Time) {
+	if host == k.gateway.name {
+		return // Known from the calls themselves.
+	}
+	for _, l := range loads {
+		if b, servers := k.gateway.findServer(l.Server); b != nil {
+			servers.applyLoad(b, l, now)
+		}
+	}
+}
+
+// Left implements coordination.GateKeeper. What a host has offered is forgotten soon anyway.
+func (k *gateKeeper) Left(string, time.Time) {}
+
+// CombinedLoads implements coordination.GateKeeper. Hosts need only the verdicts.
+func (k *gateKeeper) CombinedLoads(time.Time) []coordination.Load { return nil }
+
+// Verdicts implements coordination.GateKeeper.
+func (k *gateKeeper) Verdicts(now time.Time) (verdicts map[string]admission.Verdict, changed bool) {
+	verdicts = make(map[string]admission.Verdict, len(k.gates))
+	for name, gate := range k.gates {
+		v, ok := k.verdict(name, gate, now)
+		if !ok {
+			k.forget(name)
+			changed = true
+			continue
+		}
+		verdicts[name] = v
+		if refusing := v.RefusedShare > 0; refusing != gate.refusing {
+			gate.refusing, changed = refusing, true
+		}
+		k.publish(name, gate, v, now)
+	}
+	return verdicts, changed
+}
+
+// verdict returns the verdict of a gate, or false if the gate is no longer needed.
+func (k *gateKeeper) verdict(name string, gate *keptGate, now time.Time) (admission.Verdict, bool) {
+	table := k.gateway.control.View().Table
+	if table == nil || now.Sub(gate.offeredAt) > gateExpiry {
+		return admission.Verdict{}, false
+	}
+	servers, ok := table.Gate(name)
+	if !ok {
+		return admission.Verdict{}, false
+	}
+	groups := make([]*group, len(servers.Services))
+	for i, service := range servers.Services {
+		groups[i] = k.gateway.fleet.group(service)
+	}
+	gate.ObserveWait(serverWait(groups, servers.Needed, servers.Homes, now), now)
+	return gate.Verdict(now)
+}
+
+// publish logs and counts what a gate decided.
+func (k *gateKeeper) publish(name string, gate *keptGate, v admission.Verdict, now time.Time) {
+	promised := gate.Promised(now)
+	metrics.GetOrCreateGauge(gateMetric("refused_share", name), nil).Set(v.RefusedShare)
+	metrics.GetOrCreateGauge(gateMetric("promised_seconds", name), nil).Set(promised)
+	if math.Abs(v.RefusedShare-gate.loggedShare) < loggedShareStep && (v.RefusedShare > 0) == (gate.loggedShare > 0) {
+		return
+	}
+	gate.loggedShare = v.RefusedShare
+	k.log.Info().Str("service", name).Float64("refused_share", v.RefusedShare).Dur("wait", v.Wait).Float64("promised_seconds", promised).Int("classes", len(v.Classes)).
+		Msg("the share of requests refused at all hosts changes")
+}
+
+func (k *gateKeeper) forget(name string) {
+	delete(k.gates, name)
+	metrics.UnregisterMetric(gateMetric("refused_share", name))
+	metrics.UnregisterMetric(gateMetric("promised_seconds", name))
+}
+
+func gateMetric(name, service string) string {
+	return fmt.Sprintf("mallowgap_shared_gate_%s{service=%q}", name, service)
+}
+
+// verdictListener passes the coordinator's verdicts to the gates of this host. It implements
+// coordination.Listener.
+type verdictListener struct{ fleet *fleet }
+
+// VerdictsChanged implements coordination.Listener.
+func (l verdictListener) VerdictsChanged(verdicts map[string]admission.Verdict, now time.Time) {
+	for name, v := range verdicts {
+		if g := l.fleet.existingGroup(name); g != nil {
+			g.applyVerdict(v, now)
+		}
+	}
+}
+
+// LoadsChanged implements coordination.Listener.
+func (verdictListener) LoadsChanged([]coordination.Load, time.Time) {}
+
+// existingGroup returns the group of a service, or nil if there is none.
+func (f *fleet) existingGroup(service string) *group {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.groups[service]
+}
+
+func (g *group) applyVerdict(v admission.Verdict, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.ApplyVerdict(v, now)
+}
+
+// applyLoad records the load of a server that another host observed.
+func (g *group) applyLoad(b *backend, l coordination.Load, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := g.indexOf(b.leaf); i != replica.None {
+		g.set.ApplyLoad(i, l.Waiting, l.ServiceTime, now)
+	}
+}
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -49,11 +49,7 @@
 // only the queue length is recorded.
 func (s *Set) ReportQueue(i, waiting int, elapsed time.Duration, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
-	if !leaf.queueReportedAt.IsZero() {
-		leaf.reportInterval += time.Duration(intervalWeight * float64(min(now.Sub(leaf.queueReportedAt), maxReportInterval)-leaf.reportInterval))
-	}
-	leaf.queueLen = waiting
-	leaf.queueReportedAt = now
+	leaf.noteQueue(waiting, now)
 	if elapsed <= 0 {
 		return 0
 	}
@@ -67,6 +63,30 @@
 	return sample
 }
 
+// ApplyLoad records the queue length and the smoothed service time (0 is unknown) of a leaf that
+// another host observed. The other host calls the leaf more often or more recently, so its
+// observation replaces the one before.
+func (s *Set) ApplyLoad(i, waiting int, serviceTime time.Duration, now time.Time) {
+	leaf := s.Leaves[i]
+	leaf.noteQueue(waiting, now)
+	if serviceTime > 0 {
+		leaf.serviceTime = serviceTime
+	}
+}
+
+// ServiceTime returns the smoothed run time of a request at a leaf without queueing, as ApplyLoad
+// takes it; 0 is unknown.
+func (s *Set) ServiceTime(i int) time.Duration { return s.Leaves[i].serviceTime }
+
+// noteQueue records a reported queue length.
+func (l *Leaf) noteQueue(waiting int, now time.Time) {
+	if !l.queueReportedAt.IsZero() {
+		l.reportInterval += time.Duration(intervalWeight * float64(min(now.Sub(l.queueReportedAt), maxReportInterval)-l.reportInterval))
+	}
+	l.queueLen = waiting
+	l.queueReportedAt = now
+}
+
 // Wait estimates how long a request would wait at a leaf before it runs. The number of requests
 // queued before it is estimated from the reported queue and from this host's own requests in
 // flight, whichever gives more. If this host has no free slot, every host that shares the leaf is
--- a/replica/wait_test.go
+++ b/replica/wait_test.go
@@ -98,3 +98,15 @@
 	}
 	assert.Equal(t, s.Pick(now, 0, 0), replica.None, "waiting for the busy replica is faster")
 }
+
+// A load that another host observed counts as one of this host, so that a host that seldom calls a
+// leaf knows its queue.
+func TestAppliedLoadCountsAsWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := replica.NewSet([]*replica.Leaf{{Concurrency: 2}}, replica.Observed, nil)
+	s.ApplyLoad(0, 6, 20*time.Millisecond, now)
+	assert.Equal(t, s.Wait(0, now), 60*time.Millisecond)
+	s.ApplyLoad(0, 2, 0, now.Add(50*time.Millisecond))
+	assert.Equal(t, s.Wait(0, now.Add(50*time.Millisecond)), 20*time.Millisecond)
+	assert.Equal(t, s.ServiceTime(0), 20*time.Millisecond)
+}
--- a/route/table.go
+++ b/route/table.go
@@ -21,7 +21,9 @@
 	// Lists that differ only in their order are distinct.
 	shardSets  [][]string
 	routeNames map[string]bool
-	teams      *team.Directory
+	// gates holds the servers of each admission gate by the name of the gate.
+	gates map[string]GateServers
+	teams *team.Directory
 	// limitsTeams is set if a team has a limit.
 	limitsTeams bool
 }
@@ -37,10 +39,11 @@
 
 // NewTable returns the table of a valid configuration.
 func NewTable(config Config) *Table {
-	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}, routeNames: map[string]bool{}}
+	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}, routeNames: map[string]bool{}, gates: map[string]GateServers{}}
 	for _, r := range config.Routes {
 		t.routeNames[r.Name] = true
 		t.addShards(r.Query)
+		t.addGates(r)
 		e := &Entry{Route: r}
 		e.split.current = make([]float64, len(r.Targets))
 		t.byHost[r.Host] = append(t.byHost[r.Host], e)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -135,5 +135,15 @@
 TestHostsWithoutTheStoreDoNotEachFindOut@internal/control/records.go@s/if c.storeLost\(\) \{\n\t\tc.relayRecords.put/if false {\n\t\tc.relayRecords.put/@peers are not notified while the store is unavailable
 TestHostThatWasToldLeavesTheTrialToTheOther@internal/gateway/trial.go@s/q.awaitTrial\(guard.TrialDeadline\(f\)\)/q.trial.Suspect(time.Time{})/@a notified host starts its own trials
 TestStanding@quarantine/standing.go@s/MinTrialCrashes = 2/MinTrialCrashes = 1/@one end in a trial suffices for quarantine
+TestGateDecidesAloneWithoutAValidVerdict@admission/gate.go@s/ \|\| now.Sub\(g.verdictAt\) > MaxVerdictAge//@an old verdict decides
+TestGateDecidesAloneWithoutAValidVerdict@admission/shared.go@s/!isShare\(c.Probability\) \|\| //@a verdict out of range decides
+TestTeamAtTenTimesItsLoadCostsTheOthersNothing@admission/allocate.go@s/min\(len\(teams\), maxListedTeams\)/0/@a team with far more work than the others is not held to its part
+TestOrderOfRefusal@admission/allocate.go@s/reservedShare\*available/available/@returns starve new requests in a lasting overload
+TestOrderOfRefusal@admission/allocate.go@s/min\(floorShare\*admissible/min(0*admissible/@lower ranks lose their floors
+TestSharedGateFollowsAStep@admission/sharedgate.go@s/float64\(target-c.lastWait\)\/float64\(drainTime\)/0/@the queue of a step is not worked off
+TestSharedGateWithShortQueues@admission/sharedgate.go@s/saturationGain = 1.0/saturationGain = 0.0/@more is admitted than servers with short queues take
+TestNoVerdictWithoutAWait@admission/sharedgate.go@s/now.Sub\(s.capacity.lastAt\) > MaxVerdictAge/false/@a verdict without a recent wait
+TestHostsRefuseByTheSharedGate@internal/gateway/sharedgate.go@s/\tg.gate.ApplyVerdict\(v, now\)/\t_ = v/@hosts ignore verdicts
+TestAppliedLoadCountsAsWait@replica/wait.go@s/\tif serviceTime > 0 \{\n\t\tleaf.serviceTime = serviceTime\n\t\}\n//@the service time that another host observed is ignored
 LIST
 exit $survived
