--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -53,12 +54,17 @@
 // candidate at once; the dead host is not tried again and again.
 func TestHostsMoveWhenTheCoordinatorDies(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
-		f.at(1).ledger.allow(1)
-		next, opened := f.at(1), f.at(0).opened.Load()
-		f.kill(f.at(0))
+		first, next, opened := f.at(0), f.at(1), f.at(0).opened.Load()
+		next.ledger.allow(1)
+		first.freeze()
+		waiting := make(chan Ruling, 1)
+		go func() { waiting <- f.at(2).take() }()
+		time.Sleep(10 * time.Millisecond)
+		f.kill(first)
 		time.Sleep(time.Millisecond)
+		first.thaw()
 		assert.Equal(t, next.ledger.connected(), 3)
-		assert.Equal(t, next.take().Action, quota.Admit)
+		assert.Equal(t, (<-waiting).Action, quota.Admit)
 		assert.Equal(t, opened, int64(3))
 		time.Sleep(time.Minute)
 		assert.Equal(t, next.ledger.connected(), 3)
@@ -169,6 +175,20 @@
 	}
 }
 
+// A host that is not heard any more is dropped; its process may run on.
+func TestSilentHostIsDropped(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		silent := &blockedStream{reports: make(chan *relaypb.CoordinateReport, 1), ctx: f.ctx}
+		silent.reports <- &relaypb.CoordinateReport{Host: "silent"}
+		go func() { _ = f.at(0).Serve(silent) }()
+		time.Sleep(silenceTimeout - heartbeatInterval)
+		assert.Equal(t, f.at(0).ledger.connected(), 3)
+		time.Sleep(2 * heartbeatInterval)
+		assert.Equal(t, f.at(0).ledger.connected(), 2)
+		assert.Equal(t, len(f.at(0).ledger.gone()), 0)
+	})
+}
+
 // A host that does not read delays no other, and what waits for it stays bounded.
 func TestSlowReceiverDelaysNobody(t *testing.T) {
 	withFleet(t, 2, func(f *fleet) {
@@ -205,7 +225,7 @@
 	assert.Assert(t, endedByPeer(context.Canceled), "drpc: connection closed")
 	assert.Assert(t, endedByPeer(drpc.ClosedError.Wrap(syscall.ECONNRESET)))
 	assert.Assert(t, !endedByPeer(io.EOF), "the host has closed the stream")
-	assert.Assert(t, !endedByPeer(drpc.ClosedError.Wrap(syscall.ETIMEDOUT)))
+	assert.Assert(t, !endedByPeer(&net.OpError{Op: "read", Err: syscall.ETIMEDOUT}))
 	assert.Assert(t, !endedByPeer(errors.New("invalid message")))
 }
 
--- a/internal/coordination/drpc_test.go
+++ b/internal/coordination/drpc_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,18 +89,24 @@
 	assert.Assert(t, peer.Unimplemented(err), "%v", err)
 }
 
-// A host gets its answers over a real connection, and the coordinator learns that it leaves.
+// A host gets its answers over a real connection. The coordinator learns that it closes the stream,
+// and that it leaves.
 func TestSessionOverRealConnection(t *testing.T) {
 	ledger := &fakeLedger{hosts: map[string]int{}, left: 1}
-	state := State{Hosts: 2, Enabled: true, Limit: func(string) quota.Limit { return testLimit }}
-	noState := State{Hosts: 2, Limit: state.Limit}
-	server := New(Config{State: func() State { return noState }, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop()})
+	state := State{Hosts: 2, Limit: func(string) quota.Limit { return testLimit }}
+	server := New(Config{State: func() State { return State{Hosts: 2, Limit: state.Limit} }, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop()})
 	server.Start(t.Context())
 	mux := drpcmux.New()
 	assert.NilError(t, relaypb.DRPCRegisterRelay(mux, &relayServer{coordination: server}))
 	state.Candidates = []Host{{Name: "server", Address: listen(t, mux)}}
+	var disabled atomic.Bool
+	current := func() State {
+		s := state
+		s.Enabled = !disabled.Load()
+		return s
+	}
 	host := New(Config{
-		Host: "host", State: func() State { return state }, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop(),
+		Host: "host", State: current, Ledger: ledger, Meter: &fakeMeter{}, Log: zerolog.Nop(),
 		Peers: peer.NewDRPCClient(time.Second, nil), Suspected: func(string) bool { return false }, Suspect: func(string, time.Time) {},
 	})
 	host.Start(t.Context())
@@ -107,6 +114,11 @@
 		r := host.Take(t.Context(), "t", testLimit, 0, false)
 		return r.Action == quota.Admit && r.Coordinator == "server"
 	})
+	disabled.Store(true)
+	await(t, func() bool { return ledger.connected() == 0 })
+	assert.Equal(t, len(ledger.gone()), 0)
+	disabled.Store(false)
+	await(t, func() bool { return ledger.connected() == 1 })
 	host.Leave()
 	await(t, func() bool { return slices.Equal(ledger.gone(), []string{"host"}) })
 }
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"syscall"
 	"time"
@@ -181,12 +180,11 @@
 }
 
 // endedByPeer reports whether the error of a stream means that the process at the other end has
-// ended: its kernel closed or reset the connection. A host that runs on closes the stream first
-// (io.EOF). A timeout tells nothing about the process. drpc reports a closed connection as
-// context.Canceled and a reset one as drpc.ClosedError.
+// ended: its kernel closed the connection, which drpc reports as context.Canceled, or reset it,
+// which it reports as a drpc.ClosedError. A host that runs on closes the stream first, which
+// is io.EOF. A connection that timed out tells nothing about the process.
 func endedByPeer(err error) bool {
-	return !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ETIMEDOUT) &&
-		(errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err))
+	return errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err)
 }
 
 // join adds the stream of a host.
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -116,7 +116,7 @@
 }
 
 // at returns the host with a position in the order.
-func (f *fleet) at(i int) *host { return f.hosts[f.state.Candidates[i].Address] }
+func (f *fleet) at(i int) *host { return f.find(f.state.Candidates[i].Address) }
 
 // setEnabled sets whether there is something to coordinate.
 func (f *fleet) setEnabled(enabled bool) {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -153,8 +152,10 @@
 
 // A request that no server ran does not count against the limit.
 func TestRequestThatWasNotRunIsGivenBack(t *testing.T) {
-	withQuotas(t, limitedConfig(), func(cl *cluster) {
-		time.Sleep(10 * time.Second)
+	config := limitedConfig()
+	config.Teams[0].Limit.PerSecond = 1
+	withQuotas(t, config, func(cl *cluster) {
+		time.Sleep(40 * time.Second)
 		cl.backends.set("single", shed)
 		for range 5 * int(redLimit.Burst) {
 			assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, NotRun)
@@ -162,7 +163,7 @@
 		cl.backends.set("single", nil)
 		time.Sleep(time.Second)
 		for n := range int(redLimit.Burst) {
-			assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, Forwarded, fmt.Sprint(n))
+			assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, Forwarded, "request %d", n)
 		}
 	})
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning (the expression does not match $file)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./internal/coordination -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -135,5 +135,19 @@
 TestHostsWithoutTheStoreDoNotEachFindOut@internal/control/records.go@s/if c.storeLost\(\) \{\n\t\tc.relayRecords.put/if false {\n\t\tc.relayRecords.put/@peers are not notified while the store is unavailable
 TestHostThatWasToldLeavesTheTrialToTheOther@internal/gateway/trial.go@s/q.awaitTrial\(guard.TrialDeadline\(f\)\)/q.trial.Suspect(time.Time{})/@a notified host starts its own trials
 TestStanding@quarantine/standing.go@s/MinTrialCrashes = 2/MinTrialCrashes = 1/@one end in a trial suffices for quarantine
+TestHostsMoveWhenTheCoordinatorFreezes@internal/coordination/session.go@s/\} else if silent \{/} else if silent \&\& false {/@a silent coordinator is kept forever
+TestSilentHostIsDropped@internal/coordination/server.go@s/if now.Sub\(l.heard\) >= silenceTimeout \{/if false {/@a host that is not heard any more counts as connected
+TestLateGrantIsReturned@internal/coordination/account.go@s/\} else if granted > 0 \{/} else if false {/@an allowance that came too late is lost
+TestSlowReceiverDelaysNobody@internal/coordination/link.go@s/excess > 0 \{/excess > 1<<30 {/@what waits for a host that does not read grows without bound
+TestOldVersionIsSkipped@internal/coordination/coordination.go@s/case peer.Unimplemented\(err\):/case false:/@a host of an older version is tried again and again
+TestNothingIsSentUnlessNeeded@internal/coordination/session.go@s/case !enabled:/case !enabled \&\& false:/@hosts stay connected without anything to coordinate
+TestGracefulStopMovesHostsAtOnce@internal/coordination/server.go@s/s.stopping = true\n\t\ts.dropAll\(errStopping, now\)/s.stopping = true/@a coordinator that stops keeps its hosts until it has ended
+TestHostThatMovesIsToldFromOneThatEnded|TestEndOfProcessIsTold@internal/coordination/server.go@s/errors.Is\(err, context.Canceled\) \|\| //@a process that ended counts as cut off
+TestSessionOverRealConnection@internal/coordination/session.go@s/defer closeStream\(stream\)\n/defer func() { _ = closeStream }()\n/@a host that moves counts as one that ended
+TestVerdictsOutOfRangeAreDropped@internal/coordination/wire.go@s/return !math.IsNaN\(x\) && x >= 0 && x <= 1/_ = math.Pi; return true/@a verdict out of range is obeyed
+TestMeteredTeamsArePushed@internal/coordination/server.go@s/l.offer\(&relaypb.CoordinateVerdict\{Metered: teams, HasMetered: true\}\)/_ = l/@hosts do not learn which teams are metered
+TestHostsMoveWhenTheCoordinatorDies@internal/coordination/account.go@s/\tfor _, asked := range a.asks \{\n\t\ta.unsent = append\(a.unsent, asked\)\n\t\}\n//@asks are lost with the coordinator that they were sent to
+TestRequestThatWasNotRunIsGivenBack@internal/gateway/quota.go@s/a.Outcome == NotRun && member/false \&\& member/@requests that were not run count against the limit
+TestCoordinationIsNeededByLimitsOrSize@internal/gateway/coordinate.go@s/s.minHosts > 0 && v.HostCount >= s.minHosts/true/@hosts coordinate without need
 LIST
 exit $survived
