--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -52,7 +52,8 @@
 	if last := s.last.Load(); last != nil && last.view == v {
 		return last.state
 	}
-	state := coordination.State{Hosts: v.HostCount, Rank: rankOf(s.name, v), Limit: limitsOf(v)}
+	// A host whose entry has disappeared may be cut off and still admit requests by its own fraction.
+	state := coordination.State{Hosts: v.BudgetSharers, Rank: rankOf(s.name, v), Limit: limitsOf(v)}
 	state.Enabled = v.HostCount > 0 && (v.Table != nil && v.Table.LimitsTeams() || s.minHosts > 0 && v.HostCount >= s.minHosts)
 	for domain := range v.Hosts {
 		for _, h := range v.Relays(domain, coordinatorsPerDomain) {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -176,6 +176,7 @@
 			state := (&coordinationStates{name: "h3", minHosts: minHosts}).of(v)
 			assert.Equal(t, state.Enabled, enabled, "min_hosts %d", minHosts)
 			assert.Equal(t, state.Rank, 2)
+			assert.Equal(t, state.Hosts, 6)
 			assert.Equal(t, len(state.Candidates), 6)
 			assert.Assert(t, state.Limit("unknown").Invalid)
 		}
