A new ledger begins with its share of the slack whatever it has heard

Cause: while the first hosts joined, buckets were scaled by the few heard so far and refused; the unknown requests of one of 8 hosts emptied the bucket. Change: start level is not scaled; unknown requests count beyond the tolerance.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -28,9 +28,10 @@
 	demand   map[string]float64
 	admitted map[string][]time.Time
 	// asked, refused and owed count requests; owed are those refused within the limit.
-	offered, asked, refused, owed int
-	ideal                         map[string]float64
-	idealAt                       map[string]time.Time
+	offered, asked, refused, owed, beyond int
+	note                                  func(team string)
+	ideal                                 map[string]float64
+	idealAt                               map[string]time.Time
 	// doubled and lost are the shares of the reports that arrive twice or never.
 	doubled, lost float64
 }
@@ -44,6 +45,12 @@
 	started     time.Time
 }
 
+// list is the list of metered teams of a ledger.
+type list struct {
+	teams   []string
+	version uint64
+}
+
 type event struct {
 	at time.Time
 	do func()
@@ -156,6 +163,8 @@
 	within := f.ideal[team] >= 1
 	if within {
 		f.ideal[team]--
+	} else {
+		f.beyond++
 	}
 	f.offered++
 	decide := func(d quota.Decision) {
@@ -166,6 +175,9 @@
 		f.refused++
 		if within {
 			f.owed++
+			if f.note != nil {
+				f.note(team)
+			}
 		}
 	}
 	d := h.meter.Take(team, limit, f.now)
@@ -219,17 +231,20 @@
 			}
 		}
 		tick := f.now.UnixNano() / int64(step)
+		lists := make([]list, len(f.ledgers))
+		for i, l := range f.ledgers {
+			lists[i].teams, lists[i].version = l.Metered(f.now)
+		}
 		for i, h := range f.hosts {
-			f.talk(h, (tick+int64(i))%10 == 0, (tick+int64(i))%80 == 0)
+			if h.ledger >= 0 {
+				f.talk(h, lists[h.ledger], (tick+int64(i))%10 == 0, (tick+int64(i))%80 == 0)
+			}
 		}
 	}
 }
 
 // talk sends the report of a host and the list of its ledger.
-func (f *fleet) talk(h *host, report, heartbeat bool) {
-	if h.ledger < 0 {
-		return
-	}
+func (f *fleet) talk(h *host, list list, report, heartbeat bool) {
 	if report {
 		if counts := h.meter.Report(f.now); (len(counts) > 0 || heartbeat) && f.rng.Float64() >= f.lost {
 			f.send(h, func(l *quota.Ledger) { l.Admitted(h.name, counts, f.now) })
@@ -238,10 +253,9 @@
 			}
 		}
 	}
-	teams, version := f.ledgers[h.ledger].Metered(f.now)
-	if replace := version != h.listVersion && version > 0; replace || heartbeat {
-		h.listVersion = version
-		f.send(h, func(*quota.Ledger) { h.meter.Heard(teams, replace, f.now) })
+	if replace := list.version != h.listVersion && list.version > 0; replace || heartbeat {
+		h.listVersion = list.version
+		f.send(h, func(*quota.Ledger) { h.meter.Heard(list.teams, replace, f.now) })
 	}
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -268,12 +268,15 @@
 
 // startLevel returns the level with which a bucket begins while it is not known what was admitted before.
 func (l *Ledger) startLevel(a *account) float64 {
-	return min(a.depth/2, startShare*l.bound.Slack)
+	return min(max(1, a.limit.Burst/2), startShare*l.bound.Slack)
 }
 
 // scale sets the size of a bucket by the fraction of the limit that the ledger may grant.
 func (l *Ledger) scale(a *account) {
 	a.rate, a.depth = l.bound.scale(a.limit, l.fraction)
+	if l.settledAt.IsZero() {
+		a.depth = max(a.depth, l.startLevel(a))
+	}
 	a.maxDebt = a.limit.PerSecond * l.bound.Window.Seconds()
 	tolerance := l.fraction*(l.bound.allowed(a.limit)+l.bound.tolerance(a.limit)) - a.rate*l.bound.Window.Seconds() - a.depth
 	a.below = l.bound.meteredBelow(a.limit, a.depth, tolerance)
@@ -395,6 +398,7 @@
 	l.settledAt, l.missing = now, missing
 	for team, a := range l.teams {
 		a.refill(now)
+		l.scale(a)
 		a.level = max(a.level, l.levelFrom(a, now))
 		a.put(0)
 		l.meter(team, a)
@@ -414,7 +418,7 @@
 	if l.missing > 0 {
 		unknown = atMost(l.missing * l.bound.allowed(a.limit))
 	}
-	return level - float64(len(a.places)) - max(0, unknown-l.bound.tolerance(a.limit)/2)
+	return level - float64(len(a.places)) - max(0, unknown-l.bound.tolerance(a.limit))
 }
 
 func clampCount(n int) int { return max(-maxCount, min(maxCount, n)) }
