--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -40,6 +40,12 @@
 	// resulted.
 	wait        time.Duration
 	probability float64
+	// shared is set if the verdict of the coordinator decided on admission, which was verdictAge
+	// old.
+	shared     bool
+	verdictAge time.Duration
+	// quota is who allowed a request of a limited team, or refused it, and with which inputs.
+	quota string
 	// limit is how long the query could take from its arrival.
 	limit time.Duration
 	// servers lists the servers that were sent a request that is not a query.
@@ -61,6 +67,14 @@
 	t.notes = append(t.notes, fmt.Sprintf(format, args...))
 }
 
+// gateName says which gate decided on admission: that of this host, or the one of all hosts.
+func (t *trace) gateName() string {
+	if t.shared {
+		return "shared"
+	}
+	return "own"
+}
+
 // logGather logs the calls that this host made for a peer.
 func (g *Gateway) logGather(m *relaypb.GatherRequest, results []*relaypb.CallResult, elapsed time.Duration) {
 	log := &g.requestLog.good
@@ -105,8 +119,14 @@
 	if a.Outcome == Gathered {
 		e = e.Int("parts", len(a.Gathered.Signatures)).Int("missing", a.Gathered.Missing)
 	}
-	if t.wait > 0 {
-		e = e.Dur("expected_wait", t.wait).Float64("chance", t.probability)
+	if t.quota != "" {
+		e = e.Str("quota", t.quota)
+	}
+	if t.wait > 0 || t.shared {
+		e = e.Dur("expected_wait", t.wait).Float64("chance", t.probability).Str("gate", t.gateName())
+	}
+	if t.shared {
+		e = e.Dur("verdict_age", t.verdictAge)
 	}
 	if t.fingerprint != "" {
 		e = e.Str("fingerprint", t.fingerprint)
--- a/route/table.go
+++ b/route/table.go
@@ -21,7 +21,11 @@
 	// Lists that differ only in their order are distinct.
 	shardSets  [][]string
 	routeNames map[string]bool
-	teams      *team.Directory
+	// gates holds the servers of each admission gate by the name of the gate.
+	gates map[string]GateServers
+	teams *team.Directory
+	// limitsTeams is set if a team has a limit.
+	limitsTeams bool
 }
 
 // Entry is a route of a table.
@@ -35,10 +39,11 @@
 
 // NewTable returns the table of a valid configuration.
 func NewTable(config Config) *Table {
-	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}, routeNames: map[string]bool{}}
+	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}, routeNames: map[string]bool{}, gates: map[string]GateServers{}}
 	for _, r := range config.Routes {
 		t.routeNames[r.Name] = true
 		t.addShards(r.Query)
+		t.addGates(r)
 		e := &Entry{Route: r}
 		e.split.current = make([]float64, len(r.Targets))
 		t.byHost[r.Host] = append(t.byHost[r.Host], e)
@@ -52,6 +57,7 @@
 	t.computeMaxMissing()
 	if len(config.Teams) > 0 {
 		t.teams = team.NewDirectory(config.Teams)
+		t.limitsTeams = slices.ContainsFunc(config.Teams, func(t team.Team) bool { return t.Limit.Limited() })
 		t.config.Teams = nil // The directory holds no key in clear.
 	}
 	return t
@@ -109,6 +115,9 @@
 // Teams returns the teams of the configuration, or nil if it has none.
 func (t *Table) Teams() *team.Directory { return t.teams }
 
+// LimitsTeams reports whether a team of the configuration has a limit.
+func (t *Table) LimitsTeams() bool { return t.limitsTeams }
+
 // Service returns the named service. If the configuration does not describe it,
 // only its name is set.
 func (t *Table) Service(name string) Service {
