--- a/internal/gateway/relaywire_test.go
+++ b/internal/gateway/relaywire_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/packing"
+	"github.com/mallowgap/mallowgap/quarantine"
 )
 
 // Packing and unpacking a reply must restore the signature of each part, whatever the outcomes.
@@ -57,3 +62,42 @@
 		assert.DeepEqual(t, m.GetServerIds(), ids)
 	}
 }
+
+// Headers, targets and identifiers may contain bytes that are not UTF-8. A message that cannot be
+// encoded would fail the request and make a sound relay suspect.
+func TestRelayedRequestsMayContainAnyBytes(t *testing.T) {
+	withCluster(t, shardedConfig(1, 2), serversOf([]string{"shard0", "shard1", "single"}, "b1"), threeRegions[:2], func(cl *cluster) {
+		encoded := 0
+		cl.peers.onGather = func(m *relaypb.GatherRequest) {
+			value, err := proto.Marshal(m)
+			assert.Check(cl.t, err)
+			assert.Check(cl.t, proto.Unmarshal(value, m))
+			encoded++
+		}
+		for _, path := range []string{"/q/\xe9", "/one/\xe9"} {
+			r := cl.newRequest(path)
+			r.ID += "\xe9"
+			r.Header.Set("X-Own", "\xe9")
+			check := func(ctx context.Context, got *Request) (*Reply, error) {
+				assert.Check(cl.t, got.ID == r.ID && got.Target == path && got.Header.Get("X-Own") == "\xe9", "%q", got)
+				return serve("x", leafServiceTime)(ctx, got)
+			}
+			for _, service := range []string{"shard0", "shard1", "single"} {
+				cl.backends.set(service, check)
+			}
+			a := cl.hosts["host1"].Serve(cl.ctx, r)
+			assert.Assert(cl.t, a.Outcome == Gathered || a.Outcome == Forwarded, "%+v", a)
+		}
+		assert.Assert(cl.t, encoded > 0)
+	})
+}
+
+// A description that is not UTF-8 cannot be encoded, so that other hosts would not learn which
+// request makes servers crash.
+func TestDescriptionsAreUTF8(t *testing.T) {
+	for _, target := range []string{"/\xe9", "/" + strings.Repeat("é", quarantine.MaxDescription)} {
+		description := describe(&Request{Method: "GET", Host: "h", Target: target}, "r")
+		assert.Assert(t, utf8.ValidString(description) && len(description) <= quarantine.MaxDescription, "%q", description)
+		assert.Assert(t, strings.HasPrefix(description, "GET h/"), description)
+	}
+}
--- a/team/team_test.go
+++ b/team/team_test.go
@@ -68,11 +68,14 @@
 		"name in lines":  {[]team.Team{{Name: "a\r\nX: y", Keys: []string{key}}}, "", []string{"#1 name"}},
 		"space at end":   {[]team.Team{{Name: "a ", Keys: []string{key}}}, "", []string{"#1 name"}},
 		"one name twice": {[]team.Team{{Name: "a", Keys: []string{"x"}}, {Name: "a", Keys: []string{key}}}, "", []string{"a name"}},
-		"first wins":     {[]team.Team{{Name: "a", Keys: []string{key}}, {Name: "a", Keys: []string{"x"}}}, "a", []string{"a name"}},
-		"no key":         {[]team.Team{{Name: "a"}, {Name: "b", Keys: []string{key}}}, "b", []string{"a keys"}},
-		"empty key":      {[]team.Team{{Name: "a", Keys: []string{"", key}}}, "a", []string{"a keys"}},
-		"key twice":      {[]team.Team{{Name: "a", Keys: []string{key, "x", key}}}, "a", []string{"a keys"}},
-		"key of two":     {[]team.Team{{Name: "a", Keys: []string{key}}, {Name: "b", Keys: []string{"x", key}}}, "", []string{"a keys", "b keys"}},
+		"key of a team without a name": {[]team.Team{{Name: "a", Keys: []string{key}}, {Keys: []string{"x", key, key}}, {Name: "b", Keys: []string{"y", key}}}, "",
+			[]string{"a keys", "#2 name", "b keys"}},
+		"also of a team without a name": {[]team.Team{{Keys: []string{key}}, {Name: "a", Keys: []string{"x", key}}}, "", []string{"#1 name", "a keys"}},
+		"first wins":                    {[]team.Team{{Name: "a", Keys: []string{key}}, {Name: "a", Keys: []string{"x"}}}, "a", []string{"a name"}},
+		"no key":                        {[]team.Team{{Name: "a"}, {Name: "b", Keys: []string{key}}}, "b", []string{"a keys"}},
+		"empty key":                     {[]team.Team{{Name: "a", Keys: []string{"", key}}}, "a", []string{"a keys"}},
+		"key twice":                     {[]team.Team{{Name: "a", Keys: []string{key, "x", key}}}, "a", []string{"a keys"}},
+		"key of two":                    {[]team.Team{{Name: "a", Keys: []string{key}}, {Name: "b", Keys: []string{"x", key}}}, "", []string{"a keys", "b keys"}},
 		"key of three": {[]team.Team{{Name: "a", Keys: []string{key, key}}, {Name: "b", Keys: []string{key}}, {Name: "c", Keys: []string{key}}}, "",
 			[]string{"a keys", "b keys", "c keys"}},
 		"negative priority": {[]team.Team{{Name: "a", Keys: []string{key}, Priority: pointer(-2)}}, "a", []string{"a priority"}},
@@ -88,7 +91,7 @@
 				assertHolder(t, d, unknown, "")
 			}
 			var warned []string
-			for _, p := range team.Check(test.teams) {
+			for _, p := range team.NewDirectory(test.teams).Problems() {
 				warned = append(warned, p.Team+" "+p.Field)
 				assert.Assert(t, p.Remedy != "" && !strings.Contains(fmt.Sprint(p), key), "%+v", p)
 			}
@@ -156,7 +159,7 @@
 			assertHolder(t, d, key, teams[i].Name)
 		}
 	}
-	assert.Equal(t, len(team.Check(teams)), 0)
+	assert.Equal(t, len(d.Problems()), 0)
 }
 
 func BenchmarkNewDirectory(b *testing.B) {
