A ledger stops counting a host before the host turns elsewhere

Cause: for the time in which both the ledger and the host used the host's fraction, a window held up to 1.04 of a limit without slack; free requests of 300 hosts that lost the ledger as a team became hot, up to 1.05 with excess 0.1 and slack 20 (at 25 times the usual, as the test's arrivals were not Poisson). Change: ledger's silence limit 800 ms, a host's own fraction begins after it, requests are free only while the last message is younger than 500 ms.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -119,7 +119,10 @@
 
 func (f *fleet) connect(h *host, ledger int) {
 	h.meter.Disconnected(f.now)
-	h.ledger, h.listVersion = -1, 0
+	if h.ledger >= 0 {
+		f.ledgers[h.ledger].Left(h.name, false, f.now)
+	}
+	h.ledger, h.listVersion, h.cut = -1, 0, false
 	f.after(20*time.Millisecond, func() {
 		h.ledger = ledger
 		recent := h.meter.Connected(f.now)
@@ -226,7 +229,7 @@
 			heap.Pop(&f.events).(event).do()
 		}
 		for _, team := range slices.Sorted(maps.Keys(f.limits)) {
-			for f.rng.Float64() < f.demand[team]*step.Seconds() { // geometric, close to Poisson
+			for due := f.rng.ExpFloat64(); due < f.demand[team]*step.Seconds(); due += f.rng.ExpFloat64() {
 				f.request(team, f.hosts[f.rng.IntN(len(f.hosts))])
 			}
 		}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// SilenceLimit is the silence after which a host or a ledger counts as cut off.
+	// SilenceLimit is the silence after which a host takes its ledger for lost.
 	SilenceLimit = 1200 * time.Millisecond
+	// hostSilenceLimit is the silence after which a ledger no longer counts a host. It is shorter by a
+	// heartbeat, so that a ledger has stopped granting a host's fraction when the host turns elsewhere.
+	hostSilenceLimit = 800 * time.Millisecond
 	// settleTime is how long a new ledger waits for the reports of hosts.
 	settleTime = 500 * time.Millisecond
 	// absentShare is the share of the hosts (besides one) for which a new ledger does not wait.
@@ -127,7 +130,7 @@
 	if h == nil || h.ended {
 		return
 	}
-	silent := now.Sub(h.at) > SilenceLimit
+	silent := now.Sub(h.at) > hostSilenceLimit
 	h.at = now
 	if silent || l.startedAt.IsZero() {
 		l.recheck(now)
@@ -336,7 +339,7 @@
 		switch {
 		case h.ended && now.Sub(h.at) <= endedTTL:
 			ended++
-		case !h.ended && now.Sub(h.at) <= SilenceLimit:
+		case !h.ended && now.Sub(h.at) <= hostSilenceLimit:
 			heard++
 			if h.complete {
 				complete++
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -11,6 +11,9 @@
 	// reconnectTime is how long a host that has lost its ledger lets requests ask the next one before
 	// it decides alone.
 	reconnectTime = 200 * time.Millisecond
+	// freshness is how old the last message of the ledger may be for requests to be admitted without
+	// asking: its heartbeats come every 400 ms.
+	freshness = 500 * time.Millisecond
 	// idleTTL is how long a host remembers a team without requests, beyond the window.
 	idleTTL = 10 * time.Second
 )
@@ -77,7 +80,7 @@
 		}
 		return m.takeOwn(team, limit, now)
 	}
-	if !m.listed || m.metered[team] || m.bound.alwaysMetered(limit) {
+	if !m.listed || now.Sub(m.heard) > freshness || m.metered[team] || m.bound.alwaysMetered(limit) {
 		return Decision{Action: AskFirst}
 	}
 	t := m.count(team, now)
@@ -161,8 +164,12 @@
 
 // Disconnected records that the stream to the ledger has ended.
 func (m *Meter) Disconnected(now time.Time) {
-	if m.connected {
-		m.connected, m.lost = false, now
+	if !m.connected {
+		return
+	}
+	m.connected, m.lost = false, now
+	if now.Sub(m.heard) > hostSilenceLimit {
+		m.lost = m.heard
 	}
 }
 
@@ -198,15 +205,15 @@
 	return Decision{Action: Admit}
 }
 
-// aloneSince returns when the host began to decide alone.
+// aloneSince returns from when on the host uses its own fraction: when the ledger no longer grants it to others.
 func (m *Meter) aloneSince(now time.Time) time.Time {
 	switch {
 	case !m.connected:
-		return m.lost
+		return m.lost.Add(hostSilenceLimit)
 	case !m.inTouch(now):
-		return m.heard.Add(SilenceLimit)
+		return m.heard.Add(hostSilenceLimit)
 	default:
-		return m.unansweredSince
+		return m.unansweredSince.Add(hostSilenceLimit)
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -20,7 +20,12 @@
 		f.addLedger()
 		f.connectAll(f.hosts, 1)
 	},
-	"two owners":   func(f *fleet, third []*host) { f.addLedger(); f.connectAll(third, 1) },
+	"two owners": func(f *fleet, third []*host) {
+		f.addLedger()
+		cut(third)
+		f.after(quota.SilenceLimit, func() { f.connectAll(third, 1) })
+	},
+	"some move":    func(f *fleet, third []*host) { f.addLedger(); f.connectAll(third, 1) },
 	"hosts cut":    func(_ *fleet, third []*host) { cut(third) },
 	"all cut":      func(f *fleet, _ []*host) { cut(f.hosts) },
 	"all restart":  func(f *fleet, _ []*host) { f.addLedger(); f.restart(f.hosts) },
