--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -1,7 +1,6 @@
 package quota_test
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -16,20 +15,20 @@
 
 // fleet moves messages between meters and ledgers, with delays and losses.
 type fleet struct {
-	bound   quota.Bound
-	rng     *rand.Rand
-	now     time.Time
-	events  events
+	bound quota.Bound
+	rng   *rand.Rand
+	now   time.Time
+	// events holds what is under way by the number of the step at which it arrives.
+	events  map[int64][]func()
 	hosts   []*host
 	ledgers []*quota.Ledger
 	limits  map[string]quota.Limit
-	// demand is in requests per second of all hosts; limited is the same for requests that a
-	// bucket of all hosts would admit.
+	// demand is in requests per second over all hosts.
 	demand   map[string]float64
 	admitted map[string][]time.Time
-	// asked, refused and owed count requests; owed are those refused within the limit.
+	// ideal is the level of a bucket that sees all requests at once: beyond counts the requests that
+	// it refuses, owed those that only the ledgers and hosts refuse.
 	offered, asked, refused, owed, beyond int
-	note                                  func(team string)
 	ideal                                 map[string]float64
 	idealAt                               map[string]time.Time
 	// doubled and lost are the shares of the reports that arrive twice or never.
@@ -51,28 +50,11 @@
 	version uint64
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 const step = 5 * time.Millisecond
 
 func newFleet(seed uint64, hosts int, bound quota.Bound, limits map[string]quota.Limit) *fleet {
 	f := &fleet{
-		bound: bound, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), limits: limits, demand: map[string]float64{},
+		bound: bound, rng: rand.New(rand.NewPCG(seed, 1)), now: start, limits: limits, events: map[int64][]func(){}, demand: map[string]float64{},
 		admitted: map[string][]time.Time{}, ideal: map[string]float64{}, idealAt: map[string]time.Time{},
 	}
 	f.addLedger()
@@ -105,7 +87,12 @@
 	}
 }
 
-func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now.Add(d), do}) }
+func (f *fleet) after(d time.Duration, do func()) {
+	at := f.tick() + max(1, int64(d/step))
+	f.events[at] = append(f.events[at], do)
+}
+
+func (f *fleet) tick() int64 { return f.now.UnixNano() / int64(step) }
 
 // send delivers a message between a host and its ledger, unless their stream breaks meanwhile.
 func (f *fleet) send(h *host, do func(*quota.Ledger)) {
@@ -178,9 +165,6 @@
 		f.refused++
 		if within {
 			f.owed++
-			if f.note != nil {
-				f.note(team)
-			}
 		}
 	}
 	d := h.meter.Take(team, limit, f.now)
@@ -225,15 +209,16 @@
 // run lets the time pass.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
-		for len(f.events) > 0 && !f.events[0].at.After(f.now) {
-			heap.Pop(&f.events).(event).do()
+		tick := f.tick()
+		for _, do := range f.events[tick] {
+			do()
 		}
+		delete(f.events, tick)
 		for _, team := range slices.Sorted(maps.Keys(f.limits)) {
 			for due := f.rng.ExpFloat64(); due < f.demand[team]*step.Seconds(); due += f.rng.ExpFloat64() {
 				f.request(team, f.hosts[f.rng.IntN(len(f.hosts))])
 			}
 		}
-		tick := f.now.UnixNano() / int64(step)
 		lists := make([]list, len(f.ledgers))
 		for i, l := range f.ledgers {
 			lists[i].teams, lists[i].version = l.Metered(f.now)
@@ -262,19 +247,21 @@
 	}
 }
 
-// check asserts that no window holds more requests than the bound allows, and returns the largest
-// excess over the limit.
-func (f *fleet) check(t *testing.T, highest map[string]quota.Limit) {
+// check asserts that no window after the given time holds more requests than the bound allows.
+func (f *fleet) check(t *testing.T, from time.Time, limits map[string]quota.Limit) {
 	t.Helper()
 	for team, times := range f.admitted {
-		limit := highest[team]
+		limit := limits[team]
 		allowed := (limit.PerSecond*f.bound.Window.Seconds()+limit.Burst)*(1+f.bound.Excess) + f.bound.Slack
-		first := 0
+		first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
 		for i, at := range times {
+			if i < first {
+				continue
+			}
 			for at.Sub(times[first]) >= f.bound.Window {
 				first++
 			}
-			assert.Assert(t, float64(i-first+1) <= allowed, "team %s: %d requests in a window, %.1f allowed, at %v", team, i-first+1, allowed, at.Sub(time.Unix(1e9, 0)))
+			assert.Assert(t, float64(i-first+1) <= allowed, "team %s: %d requests in a window, %.1f allowed, after %v", team, i-first+1, allowed, at.Sub(start))
 		}
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning (the expression does not match $file)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./quota -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -135,5 +135,13 @@
 TestHostsWithoutTheStoreDoNotEachFindOut@internal/control/records.go@s/if c.storeLost\(\) \{\n\t\tc.relayRecords.put/if false {\n\t\tc.relayRecords.put/@peers are not notified while the store is unavailable
 TestHostThatWasToldLeavesTheTrialToTheOther@internal/gateway/trial.go@s/q.awaitTrial\(guard.TrialDeadline\(f\)\)/q.trial.Suspect(time.Time{})/@a notified host starts its own trials
 TestStanding@quarantine/standing.go@s/MinTrialCrashes = 2/MinTrialCrashes = 1/@one end in a trial suffices for quarantine
+TestFractionsOfTwoLedgers@quota/bound.go@s/share := fraction \* /share := 1.0 * /@a ledger grants the fraction of hosts that it does not hear
+TestHotTeamStaysWithinTheBound@quota/ledger.go@s/l.settle\(1-float64\(complete\)\/float64\(known\), now\)/l.settle(0, now)/@a new ledger begins with full buckets though hosts have started anew
+TestLowerLimitBindsAtOnce|TestHotTeamStaysWithinTheBound@quota/bucket.go@s/min\(b.level\+float64\(n\), b.depth-float64\(len\(b.places\)\)\)/b.level+float64(n)/@a bucket fills beyond its depth
+TestHotTeamStaysWithinTheBound@quota/ledger.go@s/case a.level < a.below:/case false:/@no team becomes metered
+TestHotTeamStaysWithinTheBound@quota/own.go@s/share := \(usable - limit.Burst\) \/ float64\(hosts\)/share := usable/@a host that is cut off uses the whole limit
+TestHotTeamStaysWithinTheBound@quota/own.go@s/ && !begin.Before\(epoch\)//@hosts that are cut off begin with a request each
+TestReservedAllowance@quota/bucket.go@s/!b.places\[0\].After\(now\) && .* >= 0 \{/true {/@a caller that comes early gets its reserved place
+TestReservedAllowance@quota/bucket.go@s/ && b.level\+float64\(len\(b.places\)-1\)\+rounding >= 0//@a place is granted though the allowance was used
 LIST
 exit $survived
