A ledger does not take its own pause for the silence of its hosts

Cause: after a pause of 0.8 s, the first message of a host found all others silent: the buckets shrank to one host's fraction. Change: after 200 ms without a call, hosts get 100 ms to be heard unless they may have turned elsewhere (1.2 s); after a longer pause the ledger begins anew.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -22,6 +22,10 @@
 	endedTTL = 10 * time.Second
 	// checkInterval is the interval at which silent hosts are looked for.
 	checkInterval = 50 * time.Millisecond
+	// pausedTime is the time without a call after which the ledger was paused itself; hosts then have
+	// resumeTime to be heard.
+	pausedTime = 200 * time.Millisecond
+	resumeTime = 100 * time.Millisecond
 	// riseMemory is for how long a rise of the fraction matters to idle buckets.
 	riseMemory = time.Minute
 )
@@ -130,13 +134,15 @@
 	if h == nil || h.ended {
 		return
 	}
-	silent := now.Sub(h.at) > hostSilenceLimit
-	h.at = now
-	if silent || l.startedAt.IsZero() {
-		l.recheck(now)
+	if now.Sub(h.at) <= hostSilenceLimit && !l.startedAt.IsZero() {
+		h.at = now
+		l.check(now)
 		return
 	}
-	l.check(now)
+	// Whether the others were silent too has to be seen first.
+	l.recheck(now)
+	h.at = now
+	l.recheck(now)
 }
 
 // Left records that the stream of a host ended. ended is set if its process has ended: it then
@@ -333,6 +339,9 @@
 
 // recheck counts the hosts that are heard, and settles a new ledger.
 func (l *Ledger) recheck(now time.Time) {
+	if now.Sub(l.checkedAt) > pausedTime {
+		l.resume(now)
+	}
 	l.checkedAt = now
 	heard, ended, complete := 0, 0, 0
 	for _, h := range l.hosts {
@@ -361,6 +370,22 @@
 	}
 }
 
+// resume keeps counting, for a moment, the hosts that have not had the time to turn elsewhere.
+func (l *Ledger) resume(now time.Time) {
+	for _, h := range l.hosts {
+		if !h.ended && now.Sub(h.at) <= SilenceLimit {
+			h.at = later(h.at, now.Add(resumeTime-hostSilenceLimit))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // setFraction changes the size of all buckets.
 func (l *Ledger) setFraction(fraction float64, now time.Time) {
 	if fraction == l.fraction {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -3,7 +3,11 @@
 // One host, the coordinator, has a Ledger with a token bucket for each team; every host
 // has a Meter. While a team is far below its limit, hosts admit its requests at once and
 // report them afterwards. When the bucket runs low, the ledger declares the team metered:
-// hosts then ask for an allowance before they admit a request.
+// hosts then ask for an allowance before they admit a request. A host that hears no ledger uses its
+// own fraction of the limit.
+//
+// The load that it answers: hundreds of hosts, each of which sees less than one request a second, and a team
+// that suddenly sends ten times its usual.
 //
 // Invariants:
 //   - In any window, the requests admitted by all hosts stay within
