A host alone names a time at which it admits

Cause: before a host may use its own fraction (800 ms after it lost the ledger), the retry delay did not include that time. Change: it does. TestRetryDelayIsHonest begins 250 ms after the loss instead of 1 s and failed before.

--- a/quota/own.go
+++ b/quota/own.go
@@ -56,7 +56,7 @@
 		o.used = now
 		return true, 0
 	}
-	return false, b.wait()
+	return false, b.wait() + max(0, b.at.Sub(now))
 }
 
 // takePeriod admits one request in each period that begins after the epoch. A window meets the validity, of one window, of
@@ -77,5 +77,9 @@
 		o.used = now
 		return true, 0
 	}
-	return false, time.Duration(length - passed)
+	next := begin.Add(time.Duration(length))
+	if early := epoch.Sub(next); early > 0 {
+		next = next.Add((early + time.Duration(length) - 1) / time.Duration(length) * time.Duration(length))
+	}
+	return false, next.Sub(now)
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -234,7 +234,7 @@
 		m, now := quota.NewMeter(bound), start
 		m.SetHosts(hosts, hosts/2)
 		m.Take("a", teams["large"], now)
-		now = now.Add(time.Second)
+		now = now.Add(250 * time.Millisecond)
 		for range 10 {
 			d := m.Take("a", teams["large"], now)
 			if d.Action == quota.Refuse {
