A host leaves its coordinator only for one that is ready

In a trial with real processes all hosts left their coordinator for a moment: the preferred one was stopping and still answered other calls. The ledger began anew and a team exceeded its limit. The candidate is now asked by the method itself, to which the server answers with an empty message. After a broken connection the same coordinator is tried first, as only the connection may have ended.

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -203,14 +203,13 @@
 	case errors.Is(err, errSuspended):
 		c.config.Peers.CloseIdle(address)
 		return
-	case peer.Unimplemented(err):
-		c.cooldowns[address] = cooldown{until: now.Add(oldVersionCooldown)}
-		return
+	case endedByPeer(err) && now.Sub(s.began) >= minCooldown:
+		return // Only the connection may have ended. If the process has, the next attempt tells.
 	}
 	if !s.heard.IsZero() {
 		delete(c.cooldowns, address)
 	}
-	c.coolDown(address, now)
+	c.coolDown(address, err, now)
 	if !errors.Is(err, errSilent) || c.isSelf(s.target) {
 		return
 	}
@@ -222,8 +221,12 @@
 }
 
 // coolDown keeps a host that failed from being chosen for a while.
-func (c *Coordination) coolDown(address string, now time.Time) {
+func (c *Coordination) coolDown(address string, err error, now time.Time) {
 	c.forgetCooldowns(now)
+	if peer.Unimplemented(err) {
+		c.cooldowns[address] = cooldown{until: now.Add(oldVersionCooldown)}
+		return
+	}
 	failures := c.cooldowns[address].failures
 	c.cooldowns[address] = cooldown{until: now.Add(min(minCooldown<<min(failures, 8), maxCooldown)), failures: failures + 1}
 }
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -155,13 +155,18 @@
 	})
 }
 
-// blockedStream is the stream of a host that reports and never reads.
+// blockedStream is the stream of a host that reports and reads only the first message.
 type blockedStream struct {
-	reports chan *relaypb.CoordinateReport
-	ctx     context.Context
+	reports  chan *relaypb.CoordinateReport
+	ctx      context.Context
+	welcomed bool
 }
 
 func (s *blockedStream) Send(*relaypb.CoordinateVerdict) error {
+	if !s.welcomed {
+		s.welcomed = true
+		return nil
+	}
 	<-s.ctx.Done()
 	return s.ctx.Err()
 }
--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -29,7 +29,6 @@
 // Peers calls other hosts.
 type Peers interface {
 	Coordinate(ctx context.Context, address string, run func(peer.CoordinateStream) error) error
-	State(ctx context.Context, address string, request *relaypb.StateRequest) (*relaypb.StateReply, error)
 	// CloseIdle closes the idle connections to a host.
 	CloseIdle(address string)
 }
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -148,8 +148,19 @@
 	s.log.Info().Int("hosts", len(s.links)).Int("of", s.hosts).Float64("fraction", float64(len(s.links))/float64(max(s.hosts, 1))).Msg("this host coordinates")
 }
 
-// serve serves the stream of one host until it ends.
+// serve serves the stream of one host until it ends. It first sends an empty message, by which a host
+// learns that this one coordinates before it leaves another.
 func (s *server) serve(stream ServerStream) error {
+	refused := make(chan error, 1)
+	if !s.post(func(time.Time) { refused <- s.refusal() }) {
+		return errStopping
+	}
+	if err := <-refused; err != nil {
+		return err
+	}
+	if err := stream.Send(&relaypb.CoordinateVerdict{}); err != nil {
+		return err
+	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -189,7 +200,11 @@
 
 // join adds the stream of a host.
 func (s *server) join(l *link, first *relaypb.CoordinateReport, now time.Time) {
-	if err := s.refusal(l.host); err != nil {
+	err := s.refusal()
+	if l.host == "" {
+		err = errNameless
+	}
+	if err != nil {
 		l.close(err)
 		return
 	}
@@ -203,15 +218,13 @@
 	s.report(l, first, now)
 }
 
-// refusal returns why a host cannot join, or nil.
-func (s *server) refusal(host string) error {
+// refusal returns why no host can join, or nil.
+func (s *server) refusal() error {
 	switch {
 	case s.stopping:
 		return errStopping
 	case s.hosts == 0:
 		return errNotReady
-	case host == "":
-		return errNameless
 	}
 	return nil
 }
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -39,9 +39,15 @@
 	written  chan struct{}
 	// writing is set while a report is being written; due, if there is news to report.
 	writing, due bool
-	// preferred receives a better candidate once it has responded.
-	preferred chan Host
-	probing   bool
+	// probed receives the result of the probe of a better candidate; probing is set until then.
+	probed  chan probeResult
+	probing bool
+}
+
+// probeResult tells whether a candidate is ready to coordinate.
+type probeResult struct {
+	address string
+	err     error
 }
 
 // run reports to the coordinator and applies its messages until the stream fails or is no longer
@@ -51,7 +57,7 @@
 	defer cancel()
 	s.received, s.failed = make(chan *relaypb.CoordinateVerdict), make(chan error, 1)
 	s.outgoing, s.written = make(chan *relaypb.CoordinateReport, 1), make(chan struct{}, 1)
-	s.preferred = make(chan Host, 1)
+	s.probed = make(chan probeResult, 1)
 	go s.receive(ctx, stream)
 	go s.write(ctx, stream)
 	defer closeStream(stream)
@@ -139,10 +145,11 @@
 			if err := s.recheck(ctx, time.Now()); err != nil {
 				return err
 			}
-		case h := <-s.preferred:
-			if err := s.move(h, time.Now()); err != nil {
-				return err
+		case p := <-s.probed:
+			if s.probing = false; p.err == nil {
+				return errMoved
 			}
+			s.c.coolDown(p.address, p.err, time.Now())
 		case <-s.c.resumed:
 			return errSuspended
 		case <-s.c.leave:
@@ -206,25 +213,19 @@
 		return errMoved
 	}
 	s.probing = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
-		defer cancel()
-		if _, err := s.c.config.Peers.State(ctx, target.Address, &relaypb.StateRequest{Revision: math.MaxUint64}); err != nil {
-			target.Name = ""
-		}
-		s.preferred <- target
-	}()
+	go func() { s.probed <- probeResult{target.Address, s.c.probe(ctx, target)} }()
 	return nil
 }
 
-// move handles that a better candidate has responded, or not if its name is empty.
-func (s *session) move(target Host, now time.Time) error {
-	s.probing = false
-	if target.Name != "" {
-		return errMoved
-	}
-	s.c.coolDown(target.Address, now)
-	return nil
+// probe opens a stream to a candidate and returns an error unless it is ready to coordinate.
+func (c *Coordination) probe(ctx context.Context, target Host) error {
+	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
+	defer cancel()
+	return c.config.Peers.Coordinate(ctx, target.Address, func(stream peer.CoordinateStream) error {
+		defer closeStream(stream)
+		_, err := stream.Recv()
+		return err
+	})
 }
 
 // sayLeaving sends the last report.
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -172,13 +172,6 @@
 	return Connect(ctx, func(s ServerStream) error { return to.Serve(&icyServer{s, to}) }, run)
 }
 
-func (c *client) State(_ context.Context, address string, _ *relaypb.StateRequest) (*relaypb.StateReply, error) {
-	if c.fleet.find(address) == nil {
-		return nil, errors.New("connection refused")
-	}
-	return &relaypb.StateReply{}, nil
-}
-
 func (c *client) CloseIdle(string) {}
 
 // icyServer is the coordinator's end of a stream, which holds messages while the host is frozen.
