Allowances reserved for callers that do not return are free again after 100 ms

Callers saw: a team with a limit of 3 requests/s got 8 of 18 in 6 s while 8 a second were refused. Cause: each refusal reserved an allowance for a second beyond its due time, and hosts that see few requests did not know a caller that returned; the bucket was always promised away. Ruled out: the rate of the bucket (a bucket without reservations grants the limit). Change: the level holds what has been filled; an allowance is free if all reserved ones are still filled when they are due; they expire 100 ms after that. A timeout below that of the route counts as a sign of a return.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -21,7 +21,7 @@
 		return Answer{}, true
 	}
 	patience := time.Duration(patienceShare * float64(max(q.request.Timeout, 0)))
-	ruling := q.gateway.coordination.Take(ctx, member.Name, member.Limit, patience, q.waited >= minRetryAfter)
+	ruling := q.gateway.coordination.Take(ctx, member.Name, member.Limit, patience, q.mayReturn())
 	q.trace.quota = describeRuling(ruling, q.waited)
 	if ruling.Action == quota.Refuse {
 		reason := fmt.Sprintf("over the limit of team %s (%g requests/s, burst %g): refused by %s", member.Name, member.Limit.PerSecond, member.Limit.Burst, q.trace.quota)
@@ -34,6 +34,12 @@
 	return Answer{}, true
 }
 
+// mayReturn reports whether the caller may have been refused before. A host that sees few requests
+// does not know the usual timeout of the callers, so a timeout below that of the route counts too.
+func (q *query) mayReturn() bool {
+	return q.waited >= minRetryAfter || q.request.Timeout > 0 && q.request.Timeout <= q.entry.Timeout-minRetryAfter
+}
+
 // settleQuota gives the request back to the limit of its team if it was not run, and returns the
 // answer.
 func (q *query) settleQuota(member *team.Team, a Answer) Answer {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -446,7 +446,7 @@
 	if l.missing > 0 {
 		unknown = atMost(l.missing * l.bound.allowed(a.limit))
 	}
-	return level - float64(len(a.places)) - max(0, unknown-l.bound.tolerance(a.limit))
+	return level - max(0, unknown-l.bound.tolerance(a.limit))
 }
 
 func clampCount(n int) int { return max(-maxCount, min(maxCount, n)) }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -151,6 +151,20 @@
 	assert.Equal(t, ask(12*time.Second, true).Granted, 0, "taken by requests that were reported late")
 }
 
+// TestCallersThatDoNotReturnCostLittle guards against reserved allowances that keep most of a limit from
+// the callers that are there.
+func TestCallersThatDoNotReturnCostLittle(t *testing.T) {
+	limit := quota.Limit{PerSecond: 3, Burst: 3}
+	l := newLedger(strict, limit, 1)
+	granted := 0
+	const span = 20 * time.Second
+	for at := time.Duration(0); at < span; at += 125 * time.Millisecond {
+		granted += l.Ask("0", quota.Ask{Team: "a", Requests: 1, Patience: 700 * time.Millisecond}, start.Add(at)).Granted
+	}
+	allowed := limit.PerSecond*span.Seconds() + limit.Burst
+	assert.Assert(t, float64(granted) > 0.9*allowed, "%d of %v", granted, allowed)
+}
+
 // TestFractionsOfTwoLedgers guards against a cut host whose share is granted twice, and a killed one whose share is
 // granted by nobody.
 func TestFractionsOfTwoLedgers(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -178,11 +178,12 @@
 TestCoordinationIsNeededByLimitsOrSize@internal/gateway/coordinate.go@s/s.minHosts > 0 && v.HostCount >= s.minHosts/true/@hosts coordinate without need
 TestFractionsOfTwoLedgers@quota/bound.go@s/share := fraction \* /share := 1.0 * /@a ledger grants the fraction of hosts that it does not hear
 TestHotTeamStaysWithinTheBound@quota/ledger.go@s/l.settle\(1-float64\(complete\)\/float64\(known\), now\)/l.settle(0, now)/@a new ledger begins with full buckets though hosts have started anew
-TestLowerLimitBindsAtOnce|TestHotTeamStaysWithinTheBound@quota/bucket.go@s/min\(b.level\+float64\(n\), b.depth-float64\(len\(b.places\)\)\)/b.level+float64(n)/@a bucket fills beyond its depth
+TestLowerLimitBindsAtOnce|TestHotTeamStaysWithinTheBound@quota/bucket.go@s/min\(b.level\+float64\(n\), b.depth\)/b.level+float64(n)/@a bucket fills beyond its depth
 TestHotTeamStaysWithinTheBound@quota/ledger.go@s/case a.level < a.below:/case false:/@no team becomes metered
 TestHotTeamStaysWithinTheBound@quota/own.go@s/share := \(usable - limit.Burst\) \/ float64\(hosts\)/share := usable/@a host that is cut off uses the whole limit
 TestHotTeamStaysWithinTheBound@quota/own.go@s/ && !begin.Before\(epoch\)//@hosts that are cut off begin with a request each
-TestReservedAllowance@quota/bucket.go@s/!b.places\[0\].After\(now\) && .* >= 0 \{/true {/@a caller that comes early gets its reserved place
-TestReservedAllowance@quota/bucket.go@s/ && b.level\+float64\(len\(b.places\)-1\)\+rounding >= 0//@a place is granted though the allowance was used
+TestReservedAllowance@quota/bucket.go@s/!b.places\[0\].After\(now\) && .* >= 1 \{/true {/@a caller that comes early gets its reserved place
+TestReservedAllowance@quota/bucket.go@s/ && b.level\+rounding >= 1 \{/ {/@a place is granted though the allowance was used
+TestCallersThatDoNotReturnCostLittle@quota/bucket.go@s/placeTTL = 100 \* time.Millisecond/placeTTL = 100 * time.Second/@allowances of callers that do not return are lost
 LIST
 exit $survived
