A trial that two suspects shared bars neither of them

A variant (trial, more faults): /q/x and /q/poison met on both trials, drawn at random by one host. Besides, a crash that two barred requests saw was put down to the one whose queries saw it more often, which is the popular one.

Change: a crash on trial that another suspect saw on trial, too, counts for neither until one of them is served or has more crashed servers; the number of servers decides, not that of the queries which saw them. From six servers on one of two equal ones is barred in any case.

Measured: the three new tests fail before.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -74,7 +74,7 @@
 	h.records[host] = r.truncated()
 	h.lastReport = now
 	if r.Served {
-		h.servedAt = now
+		h.noteServed(now)
 	}
 	b.recompute(f, now)
 }
@@ -120,7 +120,8 @@
 	delete(h.records, b.self)
 	obsolete = storeNames(f, h)
 	own = Record{Served: true}
-	h.records, h.claims, h.servedAt = map[string]Record{b.self: own}, map[string]bool{}, now
+	h.records, h.claims = map[string]Record{b.self: own}, map[string]bool{}
+	h.noteServed(now)
 	b.recompute(f, now)
 	return own, obsolete, true
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -301,3 +302,73 @@
 		assert.Equal(b, book.Standing(last), Barred)
 	}
 }
+
+// Two requests that lost the same server retry at the same moment and may crash the same next one.
+// The harmless one must not be barred for that trial and one coincidence, and the poison one must
+// be barred without another crash once the harmless one is served.
+func TestTrialSharedWithAnotherSuspectIsNoEvidence(t *testing.T) {
+	poison, popular := FingerprintOf(Content{Target: "/poison"}), FingerprintOf(Content{Target: "/popular"})
+	retried := Record{Servers: []string{"a", "b"}, Trials: []string{"b"}, Crashes: 2}
+	bookOfBoth := func() *Book {
+		b := NewBook("h1")
+		b.AddLocal(poison, retried, start)
+		b.ApplyRecord(popular, "h2", retried, start)
+		return b
+	}
+	b := bookOfBoth()
+	b.AddLocal(popular, crashRecord(true, "c"), start)
+	assert.Equal(t, b.Standing(popular), Suspect)
+	b.AddLocal(poison, crashRecord(true, "d", "e"), start)
+	assert.Equal(t, b.Standing(poison), Barred)
+	assert.Equal(t, b.Standing(popular), Suspect)
+
+	b = bookOfBoth()
+	b.AddLocal(poison, crashRecord(true, "d"), start)
+	assert.Equal(t, b.Standing(poison), Suspect)
+	b.TakeChanges()
+	b.Clear(popular, start)
+	assert.Equal(t, b.Standing(poison), Barred)
+	assert.Equal(t, len(b.TakeChanges()), 2, "the change of the other request is published too")
+
+	b = bookOfBoth()
+	b.AddLocal(poison, crashRecord(true, "d", "e"), start)
+	assert.Equal(t, b.Standing(poison), Barred, "two trials that no other suspect shared")
+}
+
+// Two requests that ran on all the same crashed servers must not be told apart by chance. If both
+// are poison and always sent together, one of them must be barred nevertheless.
+func TestRequestsWithTheSameCrashesAreUndecided(t *testing.T) {
+	one, other := FingerprintOf(Content{Target: "/one"}), FingerprintOf(Content{Target: "/other"})
+	standings := func(b *Book) []Standing {
+		all := []Standing{b.Standing(one), b.Standing(other)}
+		slices.Sort(all)
+		return all
+	}
+	crashes := Record{Servers: []string{"a", "b", "c", "d"}, Trials: []string{"c", "d"}, Crashes: 4}
+	for _, served := range []Fingerprint{one, other} {
+		b := NewBook("h1")
+		b.AddLocal(one, crashes, start)
+		b.AddLocal(other, crashes, start)
+		assert.DeepEqual(t, standings(b), []Standing{Suspect, Suspect})
+		b.Clear(served, start)
+		assert.DeepEqual(t, standings(b), []Standing{Clear, Barred})
+	}
+	b := NewBook("h1")
+	for _, server := range strings.Split("a b c d e f", " ") {
+		assert.DeepEqual(t, standings(b)[1] == Barred, false)
+		b.AddLocal(one, crashRecord(true, server), start)
+		b.AddLocal(other, crashRecord(true, server), start)
+	}
+	assert.DeepEqual(t, standings(b), []Standing{Suspect, Barred})
+}
+
+// Many concurrent queries see the same crash. The request with the most crashed servers is the
+// likeliest cause, not the one that saw a crash most often.
+func TestCrashSeenByManyQueriesCountsOnce(t *testing.T) {
+	poison, popular := FingerprintOf(Content{Target: "/poison"}), FingerprintOf(Content{Target: "/popular"})
+	b := NewBook("h1")
+	b.AddLocal(popular, Record{Servers: []string{"a", "b", "c"}, Trials: []string{"b", "c"}, Crashes: 9}, start)
+	b.ApplyRecord(poison, "h2", Record{Servers: []string{"b", "c", "d", "e"}, Trials: []string{"b", "c", "e"}, Crashes: 4}, start)
+	assert.Equal(t, b.Standing(poison), Barred)
+	assert.Equal(t, b.Standing(popular), Suspect)
+}
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -15,6 +15,10 @@
 	// if the same servers crashed under two requests, both may go on trial at the same server at
 	// the same time.
 	MinTrialCrashes = 2
+	// maxUndecidedCrashes is the number of servers from which on one of two requests with equally
+	// many crashes is barred, although it may be the wrong one: until then a harmless one is
+	// likely to be served, but two poison requests that are always sent together never differ.
+	maxUndecidedCrashes = 2 * MinCrashes
 )
 
 // Standing tells how a request is to be treated.
@@ -80,6 +84,8 @@
 	// servedAt is the time at which this host learned that a server served the request; zero
 	// after servedGrace.
 	servedAt time.Time
+	// wasServed is whether servedAt was ever set.
+	wasServed bool
 	// summary merges the records, with the standing that follows from them alone.
 	summary Summary
 	// standing is the effective standing, which follows from the crashes that are not attributed
@@ -88,6 +94,14 @@
 	attributedTo []Fingerprint
 }
 
+// noteServed records that a server served the request.
+func (h *history) noteServed(at time.Time) {
+	h.wasServed = true
+	if at.After(h.servedAt) {
+		h.servedAt = at
+	}
+}
+
 // summarize merges the records of a request.
 func (h *history) summarize(f Fingerprint) Summary {
 	s := Summary{Fingerprint: f, Hosts: slices.Sorted(maps.Keys(h.records))}
@@ -134,10 +148,11 @@
 func (s Summary) crashedServers() []string { return union(slices.Clone(s.Servers), s.Trials) }
 
 // outweighs reports whether a crash under two requests is attributed to s and not to other, because
-// hosts saw more crashes under s. If they saw equally many, the lower fingerprint decides.
+// more servers crashed under s. Crashes does not decide, because each of the many concurrent queries
+// of a popular request sees a crash. If equally many servers crashed, the lower fingerprint decides.
 func (s Summary) outweighs(other Summary) bool {
-	if s.Crashes != other.Crashes {
-		return s.Crashes > other.Crashes
+	if len(s.Servers) != len(other.Servers) {
+		return len(s.Servers) > len(other.Servers)
 	}
 	return strings.Compare(s.Fingerprint.String(), other.Fingerprint.String()) < 0
 }
@@ -175,10 +190,10 @@
 	b.updateRelated(h.summary)
 }
 
-// updateRelated updates the standings of the requests that share crashed servers with s. It does
-// nothing unless s is barred, because crashes are attributed to barred requests only.
+// updateRelated updates the standings of the requests that share crashed servers with s. Without
+// crashes on trial s does not affect them.
 func (b *Book) updateRelated(s Summary) {
-	if s.Standing != Barred {
+	if len(s.Trials) == 0 {
 		return
 	}
 	for f := range b.requestsSharing(s) {
@@ -202,23 +217,35 @@
 	}
 }
 
+// equals reports whether the crashes do not tell yet which of two requests caused them.
+func (s Summary) equals(other Summary) bool {
+	return len(s.Servers) == len(other.Servers) && len(s.Servers) < maxUndecidedCrashes
+}
+
 // attributedStanding returns the standing that follows from the crashes of s that are not attributed
 // to other barred requests, and those other requests. A crash has one cause but is recorded for
 // every request that the process ran: without attribution, two requests on trial at the same server
-// at the same time would both be barred.
+// at the same time would both be barred. While the other one is only suspect, or its crashes are as
+// many, a crash on trial that both saw counts for neither: requests that ran on the same crashed
+// server retry at the same time, often at the same server. It counts again once the other one is
+// served.
 func (b *Book) attributedStanding(s Summary) (Standing, []Fingerprint) {
 	if s.Standing != Barred {
 		return s.Standing, nil
 	}
+	servers, trials := s.Servers, s.Trials
 	var attributedTo []Fingerprint
 	for f := range b.requestsSharing(s) {
 		other := b.histories[f].summary
-		if other.Standing == Barred && other.outweighs(s) {
-			s.Servers, s.Trials = difference(s.Servers, other.Servers), difference(s.Trials, other.Servers)
+		switch {
+		case other.Standing == Suspect && !b.histories[f].wasServed, other.Standing == Barred && other.equals(s):
+			trials = difference(trials, other.Trials)
+		case other.Standing == Barred && other.outweighs(s):
+			servers, trials = difference(servers, other.Servers), difference(trials, other.Servers)
 			attributedTo = append(attributedTo, f)
 		}
 	}
-	return max(standingOf(s.Servers, s.Trials), Suspect), attributedTo
+	return max(standingOf(servers, trials), Suspect), attributedTo
 }
 
 // requestsSharing returns the other requests that a crashed server of s was running.
