A host remembers what it has just served while anything is suspected

Only a query that was itself under suspicion counted as served; those before it, and those under way, did not. Besides, the next record of the host that had it served overwrote its word, so that a host that started later read the crashes alone.

Measured: TestServersLostInARowBarNoRequestThatWasJustServed and TestRecentlyServedRequestIsNotBarred fail before. Tests of quarantine, guard, gateway, home.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -287,3 +287,36 @@
 		})
 	}
 }
+
+// A popular request that servers have just served must not be barred when its next few attempts all
+// lose their servers to other causes, neither by the hosts that served it nor by one that starts
+// later and knows only the store.
+func TestServersLostInARowBarNoRequestThatWasJustServed(t *testing.T) {
+	servers := serversOf([]string{"single"}, "a1", "b1", "c1")
+	for i := range servers {
+		servers[i].StartedAtMillis = 1
+	}
+	const late = "host5"
+	lateSettings := settingsOf(t, hostSpec{late, "a1", "a"})
+	withCluster(t, shardedConfig(1, 1), servers, fourHosts, func(cl *cluster) {
+		cs := newCrashingServers(cl, servers)
+		cl.ask("host2", "/once/poison")
+		time.Sleep(2 * crashDowntime)
+		assert.Equal(t, cl.ask("host1", "/once/popular").Outcome, Forwarded)
+		for range quarantine.MinCrashes {
+			time.AfterFunc(leafServiceTime/2, func() {
+				for _, s := range servers {
+					cs.crash(s, "", time.Second)
+				}
+			})
+			assert.Equal(t, cl.ask("host1", "/once/popular").Outcome, Failed)
+			time.Sleep(2 * time.Second)
+		}
+		cl.start(lateSettings)
+		time.Sleep(2 * time.Second)
+		for _, host := range append([]string{late}, fourHostNames...) {
+			a := cl.ask(host, "/once/popular")
+			assert.Check(t, a.Outcome == Forwarded && a.Reply.OK(), "%s: %+v", host, a)
+		}
+	})
+}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -396,7 +396,9 @@
 
 // finish reports servers that crashed while running the query and completes the trace for the log.
 func (q *query) finish(a Answer) Answer {
-	q.reportCrashes(time.Now())
+	if !q.reportCrashes(time.Now()) {
+		q.reportServed(time.Now())
+	}
 	q.reportBrokenCalls(time.Now())
 	q.trace.limit = q.end.Sub(q.request.Arrived)
 	if q.entry.Query == nil {
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -226,14 +226,23 @@
 }
 
 // reportCrashes tells all hosts about the servers that crashed while running the query since a
-// server last served it.
-func (q *query) reportCrashes(now time.Time) {
+// server last served it, and reports whether there are any.
+func (q *query) reportCrashes(now time.Time) bool {
 	record, ok := q.trial.TakeReport()
 	if !ok {
-		return
+		return false
 	}
 	record.Description = describe(q.request, q.entry.Name)
 	q.trial.barred = q.gateway.guard.AddLocal(q.fingerprint(), record, now) == quarantine.Barred
+	return true
+}
+
+// reportServed records that the query was served, if the guard is active: another query of the same
+// request may be in flight at a server that crashes. Otherwise the fingerprint is not worth its cost.
+func (q *query) reportServed(now time.Time) {
+	if q.trial.WasServed() && q.gateway.guard.Active() {
+		q.gateway.guard.NoteServed(q.fingerprint(), now)
+	}
 }
 
 // checkBarred records whether the request has become barred, unless this query is its claimed
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -171,11 +171,26 @@
 	}
 }
 
+// NoteServed records that a query of this host was served, and clears its request if that is suspect
+// or barred. It need not be called unless Active.
+func (g *Guard) NoteServed(f quarantine.Fingerprint, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.book.NoteServed(f, now) {
+		g.clearLocked(f, now)
+	}
+}
+
 // Clear records that a server served a request, and removes the obsolete records of other hosts
 // from the store.
 func (g *Guard) Clear(f quarantine.Fingerprint, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.clearLocked(f, now)
+}
+
+// clearLocked implements Clear. The caller must hold g.mu.
+func (g *Guard) clearLocked(f quarantine.Fingerprint, now time.Time) {
 	own, obsolete, known := g.book.Clear(f, now)
 	if !known {
 		return
--- a/internal/home/deaths_test.go
+++ b/internal/home/deaths_test.go
@@ -253,3 +253,32 @@
 		assert.Equal(t, time.Since(began), time.Duration(0), "the query kept running after it was barred")
 	})
 }
+
+// A query that was just answered must not be barred when its next attempts all lose their
+// leaves to other causes.
+func TestLeavesLostInARowBarNoQueryThatWasJustAnswered(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		s, fleet := newCrashingService()
+		ask := func(id, query string) *callerpb.AskReply {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return s.Serve(ctx, &callerpb.AskRequest{Service: "search", RequestId: id, Query: []byte(query)}, 0)
+		}
+		ask("p", "poison")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, ask("before", "popular").GetOutcome(), callerpb.Outcome_ANSWERED)
+		for i := range 3 {
+			time.AfterFunc(serviceTime/2, func() {
+				for shard := range shards {
+					fleet.crash(address(shard, 0))
+					fleet.crash(address(shard, 1))
+				}
+			})
+			ask(fmt.Sprint("r", i), "popular")
+			time.Sleep(5 * time.Second)
+			ask(fmt.Sprint("other", i), "other") // Tells the home of the leaves' new processes.
+		}
+		r := ask("after", "popular")
+		assert.Equal(t, r.GetOutcome(), callerpb.Outcome_ANSWERED, "%v", r)
+	})
+}
--- a/internal/home/query.go
+++ b/internal/home/query.go
@@ -286,7 +286,9 @@
 
 // finish ends the query and returns the merged result. s.mu must be held.
 func (q *query) finish() scatter.Result {
-	q.recordCrashes(time.Now())
+	if now := time.Now(); !q.recordCrashes(now) {
+		q.recordServed(now)
+	}
 	q.done = true
 	close(q.closed)
 	for _, a := range q.running {
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -175,17 +175,31 @@
 }
 
 // recordCrashes adds the crashes since a leaf last served the query to the quarantine of
-// the service, where other queries with the same content find them.
-func (q *query) recordCrashes(now time.Time) {
+// the service, where other queries with the same content find them. It reports whether
+// there are any.
+func (q *query) recordCrashes(now time.Time) bool {
 	record, ok := q.quarantine.TakeReport()
 	if !ok {
-		return
+		return false
 	}
 	record.Description = "query of desk " + q.req.GetDesk()
 	f := fingerprint(q.req)
 	q.service.quarantine.AddLocal(f, record, now)
 	q.service.signalBarred()
 	q.quarantine.barred = q.service.quarantine.Standing(f) == quarantine.Barred
+	return true
+}
+
+// recordServed records that the query was served, if any content is in the quarantine:
+// leaves may crash under another query with the same content.
+func (q *query) recordServed(now time.Time) {
+	if !q.quarantine.WasServed() || q.service.quarantine.Len() == 0 {
+		return
+	}
+	if f := fingerprint(q.req); q.service.quarantine.NoteServed(f, now) {
+		q.service.quarantine.Clear(f, now)
+		q.service.signalBarred()
+	}
 }
 
 // onServed records that a leaf served the query, which ends its trial.
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -41,6 +41,8 @@
 	histories map[Fingerprint]*history
 	// byServer maps a crashed server to the requests that it ran.
 	byServer map[string]map[Fingerprint]bool
+	// served remembers the requests that servers served for this host.
+	served servedSet
 	// pendingChanges are the changes that TakeChanges has not returned yet.
 	pendingChanges []Change
 }
@@ -59,7 +61,7 @@
 	r := b.historyOf(f, now).records[b.self]
 	r.Servers, r.Trials, r.Versions = slices.Clone(r.Servers), slices.Clone(r.Trials), slices.Clone(r.Versions)
 	r.add(seen)
-	r.Served = false
+	_, r.Served = b.served.within(f, now) // Hosts that start later know it only from this record.
 	b.ApplyRecord(f, b.self, r, now)
 	return r
 }
@@ -73,8 +75,11 @@
 	}
 	h.records[host] = r.truncated()
 	h.lastReport = now
-	if r.Served {
-		h.noteServed(now)
+	if at, served := b.served.within(f, now); served {
+		h.noteServed(at)
+	}
+	if r.Served && (r.Crashes == 0 || h.servedAt.IsZero()) {
+		h.noteServed(now) // A record with crashes does not tell when the request was served.
 	}
 	b.recompute(f, now)
 }
@@ -109,10 +114,18 @@
 	b.recompute(f, now)
 }
 
+// NoteServed records that a server served a request for this host. It reports whether the request
+// is suspect or barred, so that Clear must be called.
+func (b *Book) NoteServed(f Fingerprint, now time.Time) (mustClear bool) {
+	b.served.add(f, now)
+	return b.Standing(f) != Clear
+}
+
 // Clear records that a server served a request. It returns the new record of this host and the
 // names of the records and claims of other hosts, which are obsolete. known is false if the book
 // does not contain the request.
 func (b *Book) Clear(f Fingerprint, now time.Time) (own Record, obsolete []string, known bool) {
+	b.served.add(f, now)
 	h := b.histories[f]
 	if h == nil {
 		return Record{}, nil, false
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -13,7 +13,8 @@
 //   - The end of one process is attributed to only one of the requests that it ran.
 //   - TakeChanges returns each change of a standing exactly once, whether it follows from a record
 //     of the request, from the state of another request or from the passing of time.
-//   - A server that serves a request clears it.
+//   - A server that serves a request clears it. A request that was served within servedGrace is not
+//     barred; a host knows that of the requests that it served while its book was not empty.
 //   - A barred request is sent only on trials that a single host has claimed: at most MaxTrials,
 //     each after a longer probation, and one more when all servers run a version under which
 //     none has crashed.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -372,3 +372,32 @@
 	assert.Equal(t, b.Standing(poison), Barred)
 	assert.Equal(t, b.Standing(popular), Suspect)
 }
+
+// What a host has just seen served is not barred, whichever of its queries was served and whoever
+// reports crashes, and hosts that only see the later records know it too.
+func TestRecentlyServedRequestIsNotBarred(t *testing.T) {
+	f := FingerprintOf(Content{Target: "/x"})
+	crashes := crashRecord(true, "a", "b", "c")
+	b, restarted := NewBook("h1"), NewBook("h2")
+	assert.Assert(t, !b.NoteServed(f, start), "nothing is known against it")
+	reportedAt := start.Add(servedGrace - 2)
+	restarted.ApplyRecord(f, "h1", b.AddLocal(f, crashes, reportedAt), reportedAt)
+	assert.Equal(t, b.Standing(f), Suspect)
+	assert.Equal(t, restarted.Standing(f), Suspect)
+	restarted.ApplyRecord(f, "h1", b.AddLocal(f, crashes, start.Add(servedGrace-1)), start.Add(servedGrace-1))
+	b.RemoveExpired(start.Add(servedGrace))
+	assert.Equal(t, b.Standing(f), Barred)
+	restarted.RemoveExpired(reportedAt.Add(servedGrace))
+	assert.Equal(t, restarted.Standing(f), Barred, "later records do not extend the grace period")
+	assert.Assert(t, b.NoteServed(f, start.Add(servedGrace)), "it must be cleared")
+
+	other := NewBook("h3")
+	other.NoteServed(f, start)
+	other.ApplyRecord(f, "h1", crashes, start)
+	assert.Equal(t, other.Standing(f), Suspect)
+
+	for i := range 3 * maxServed {
+		other.NoteServed(FingerprintOf(Content{Target: fmt.Sprint(i)}), start)
+	}
+	assert.Assert(t, len(other.served.current)+len(other.served.previous) <= 2*maxServed)
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -28,7 +28,8 @@
 	Description string
 	// LastCrash is the time of the last crash in Unix milliseconds, for operators.
 	LastCrash int64
-	// Served is whether a server served the request after the crashes.
+	// Served is whether a server served the request: after the crashes if there are none in the
+	// record, otherwise within servedGrace before the last of them.
 	Served bool
 }
 
