Trials that end together at one host count as one

Within a query servers that end together are no evidence; across queries they were.

Measured: TestTrialsThatEndTogetherCountOnce fails before.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -134,18 +134,18 @@
 	return all
 }
 
-// AddLocal adds what this host observed of a request to its record, writes the record to the store,
-// and returns the standing of the request.
+// AddLocal adds what a query of this host observed of its request to the record of this host, writes
+// the record to the store, and returns the standing of the request.
 func (g *Guard) AddLocal(f quarantine.Fingerprint, seen quarantine.Record, now time.Time) quarantine.Standing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.addLocked(f, seen, now)
+	g.publish(f, g.book.AddReport(f, seen, now))
 	return g.book.Standing(f)
 }
 
-// addLocked implements AddLocal. The caller must hold g.mu.
-func (g *Guard) addLocked(f quarantine.Fingerprint, seen quarantine.Record, now time.Time) {
-	record := g.book.AddLocal(f, seen, now)
+// publish processes the changes of the book and writes the record of this host to the store. The
+// caller must hold g.mu.
+func (g *Guard) publish(f quarantine.Fingerprint, record quarantine.Record) {
 	g.processChanges(g.host)
 	g.storeRecord(f, record)
 }
@@ -167,7 +167,7 @@
 	defer g.mu.Unlock()
 	for _, c := range g.brokenCalls.Take(process, now) {
 		g.LogCrash(c.Fingerprint, "", server, service, now.Sub(c.At), "the connection broke, and the registry entry shows that the server ended", c.Crash)
-		g.addLocked(c.Fingerprint, c.Record(), now)
+		g.publish(c.Fingerprint, g.book.AddLocal(c.Fingerprint, c.Record(), now))
 	}
 }
 
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -184,7 +184,7 @@
 	}
 	record.Description = "query of desk " + q.req.GetDesk()
 	f := fingerprint(q.req)
-	q.service.quarantine.AddLocal(f, record, now)
+	q.service.quarantine.AddReport(f, record, now)
 	q.service.signalBarred()
 	q.quarantine.barred = q.service.quarantine.Standing(f) == quarantine.Barred
 	return true
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -55,6 +55,21 @@
 // Len returns the number of requests in the book.
 func (b *Book) Len() int { return len(b.histories) }
 
+// AddReport adds the crashes that a query of this host reports, like AddLocal. A crash on trial
+// counts as one only if this host counted none under the request in the last trialQuietPeriod:
+// many queries may be on trial at servers that are lost together.
+func (b *Book) AddReport(f Fingerprint, seen Record, now time.Time) Record {
+	h := b.historyOf(f, now)
+	switch {
+	case len(seen.Trials) == 0:
+	case now.Sub(h.lastTrial) < trialQuietPeriod:
+		seen.Trials = nil
+	default:
+		h.lastTrial = now
+	}
+	return b.AddLocal(f, seen, now)
+}
+
 // AddLocal adds what this host observed in one attempt to its record of a request, and returns the
 // merged record.
 func (b *Book) AddLocal(f Fingerprint, seen Record, now time.Time) Record {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -335,6 +335,24 @@
 	assert.Equal(t, b.Standing(poison), Barred, "two trials that no other suspect shared")
 }
 
+// Several queries of a popular request may be on trial at servers that are lost together, as with a
+// failure domain. That is one coincidence, not two trials.
+func TestTrialsThatEndTogetherCountOnce(t *testing.T) {
+	f := FingerprintOf(Content{Target: "/x"})
+	b := NewBook("h1")
+	at := start
+	b.AddReport(f, crashRecord(false, "a"), at)
+	for _, server := range []string{"b", "c"} {
+		at = at.Add(trialQuietPeriod - 1)
+		b.AddReport(f, crashRecord(true, server), at)
+	}
+	assert.Equal(t, b.Standing(f), Suspect)
+	record := b.AddReport(f, crashRecord(true, "d"), at.Add(1))
+	assert.Equal(t, b.Standing(f), Barred)
+	assert.DeepEqual(t, record.Servers, []string{"a", "b", "c", "d"})
+	assert.DeepEqual(t, record.Trials, []string{"b", "d"})
+}
+
 // Two requests that ran on all the same crashed servers must not be told apart by chance. If both
 // are poison and always sent together, one of them must be barred nevertheless.
 func TestRequestsWithTheSameCrashesAreUndecided(t *testing.T) {
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -79,6 +79,8 @@
 	// firstSeen is the time at which this host learned of the first record or claim. barredSince
 	// is the time since which summary.Standing is Barred; zero if it is not.
 	firstSeen, barredSince time.Time
+	// lastTrial is the time of the last trial that AddReport counted.
+	lastTrial time.Time
 	// lastReport is the time at which the last record arrived.
 	lastReport time.Time
 	// servedAt is the time at which this host learned that a server served the request; zero
