--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,7 +9,9 @@
 // Invariants:
 //   - A request is barred only after MinCrashes servers crashed while running it, MinTrialCrashes
 //     of them on trial after earlier crashes. The loss of a failure domain crashes servers under
-//     many unrelated requests, but these are served on trial.
+//     many unrelated requests, but these are served on trial. A crash on trial that another
+//     suspect saw on trial too counts only once that one was served, or, if both could be barred,
+//     has fewer crashes; from maxUndecidedTrials trials on it counts in any case.
 //   - The end of one process is attributed to only one of the requests that it ran.
 //   - TakeChanges returns each change of a standing exactly once, whether it follows from a record
 //     of the request, from the state of another request or from the passing of time.
