--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -41,6 +41,8 @@
 	histories map[Fingerprint]*history
 	// byServer maps a crashed server to the requests that it ran.
 	byServer map[string]map[Fingerprint]bool
+	// served remembers the requests that servers served for this host.
+	served servedSet
 	// pendingChanges are the changes that TakeChanges has not returned yet.
 	pendingChanges []Change
 }
@@ -53,13 +55,28 @@
 // Len returns the number of requests in the book.
 func (b *Book) Len() int { return len(b.histories) }
 
+// AddReport adds the crashes that a query of this host reports, like AddLocal. A crash on trial
+// counts as one only if this host counted none under the request in the last trialQuietPeriod:
+// many queries may be on trial at servers that are lost together.
+func (b *Book) AddReport(f Fingerprint, seen Record, now time.Time) Record {
+	h := b.historyOf(f, now)
+	switch {
+	case len(seen.Trials) == 0:
+	case now.Sub(h.lastTrial) < trialQuietPeriod:
+		seen.Trials = nil
+	default:
+		h.lastTrial = now
+	}
+	return b.AddLocal(f, seen, now)
+}
+
 // AddLocal adds what this host observed in one attempt to its record of a request, and returns the
 // merged record.
 func (b *Book) AddLocal(f Fingerprint, seen Record, now time.Time) Record {
 	r := b.historyOf(f, now).records[b.self]
 	r.Servers, r.Trials, r.Versions = slices.Clone(r.Servers), slices.Clone(r.Trials), slices.Clone(r.Versions)
 	r.add(seen)
-	r.Served = false
+	_, r.Served = b.served.within(f, now) // Hosts that start later know it only from this record.
 	b.ApplyRecord(f, b.self, r, now)
 	return r
 }
@@ -73,8 +90,11 @@
 	}
 	h.records[host] = r.truncated()
 	h.lastReport = now
-	if r.Served {
-		h.servedAt = now
+	if at, served := b.served.within(f, now); served {
+		h.noteServed(at)
+	}
+	if r.Served && (r.Crashes == 0 || h.servedAt.IsZero()) {
+		h.noteServed(now) // A record with crashes does not tell when the request was served.
 	}
 	b.recompute(f, now)
 }
@@ -109,10 +129,18 @@
 	b.recompute(f, now)
 }
 
+// NoteServed records that a server served a request for this host. It reports whether the request
+// is suspect or barred, so that Clear must be called.
+func (b *Book) NoteServed(f Fingerprint, now time.Time) (mustClear bool) {
+	b.served.add(f, now)
+	return b.Standing(f) != Clear
+}
+
 // Clear records that a server served a request. It returns the new record of this host and the
 // names of the records and claims of other hosts, which are obsolete. known is false if the book
 // does not contain the request.
 func (b *Book) Clear(f Fingerprint, now time.Time) (own Record, obsolete []string, known bool) {
+	b.served.add(f, now)
 	h := b.histories[f]
 	if h == nil {
 		return Record{}, nil, false
@@ -120,7 +148,8 @@
 	delete(h.records, b.self)
 	obsolete = storeNames(f, h)
 	own = Record{Served: true}
-	h.records, h.claims, h.servedAt = map[string]Record{b.self: own}, map[string]bool{}, now
+	h.records, h.claims = map[string]Record{b.self: own}, map[string]bool{}
+	h.noteServed(now)
 	b.recompute(f, now)
 	return own, obsolete, true
 }
