Tell all hosts which servers are loaded

Where each host has few requests it knows the queues of servers only from its own last calls, and goes on choosing full servers near it while others are idle.

Loads are pushed also if no verdict changes, merged by server for a host that reads slowly, and told to a host that connects. A host trusts its own observation for 150 ms, then what it was told; told waits count in the choice with a random part, so that not all hosts leave a server together.

The gain in a whole fleet is not measured in this commit.

--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -89,15 +89,18 @@
 	// Verdicts returns the verdict for each service, and whether one has changed since the
 	// previous call.
 	Verdicts(now time.Time) (verdicts map[string]admission.Verdict, changed bool)
-	// CombinedLoads returns the loads of servers, combined from the reports of all hosts.
-	CombinedLoads(now time.Time) []Load
+	// LoadChanges returns what all hosts have to be told of the loads of servers, and whether it must
+	// be called again although no load is reported meanwhile. It is called every 100 ms at most.
+	LoadChanges(now time.Time) (changes []Load, again bool)
+	// CombinedLoads returns what a host that has just connected has to be told.
+	CombinedLoads() []Load
 }
 
 // Listener learns at each host what the coordinator decided. Its methods must not block.
 type Listener interface {
 	// VerdictsChanged passes the verdicts by service.
 	VerdictsChanged(verdicts map[string]admission.Verdict, now time.Time)
-	// LoadsChanged passes the combined loads of servers.
+	// LoadsChanged passes the loads of servers that differ from those passed before.
 	LoadsChanged(loads []Load, now time.Time)
 }
 
@@ -130,7 +133,8 @@
 func (noGates) Verdicts(time.Time) (map[string]admission.Verdict, bool) {
 	return nil, false
 }
-func (noGates) CombinedLoads(time.Time) []Load { return nil }
+func (noGates) LoadChanges(time.Time) ([]Load, bool) { return nil, false }
+func (noGates) CombinedLoads() []Load                { return nil }
 
 // noListener is a Listener that ignores everything.
 type noListener struct{}
--- a/internal/coordination/link.go
+++ b/internal/coordination/link.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,8 @@
 	}
 }
 
-// merge replaces the lists of a message by those of a later one, and appends its grants.
+// merge replaces the lists of a message by those of a later one, its loads by server, and appends its
+// grants.
 func merge(into, m *relaypb.CoordinateVerdict) {
 	if m.GetHasMetered() {
 		into.Metered, into.HasMetered = m.GetMetered(), true
@@ -54,15 +56,32 @@
 	if len(m.GetGates()) > 0 {
 		into.Gates = m.GetGates()
 	}
-	if len(m.GetLoads()) > 0 {
-		into.Loads = m.GetLoads()
-	}
+	into.Loads = mergeLoads(into.GetLoads(), m.GetLoads())
 	into.Grants = append(into.Grants, m.GetGrants()...)
 	if excess := len(into.Grants) - maxPendingGrants; excess > 0 {
 		into.Grants = into.Grants[excess:]
 	}
 }
 
+// mergeLoads returns the loads by server, the later one of each. It changes neither list, as others
+// share them.
+func mergeLoads(earlier, later []*relaypb.ServerLoad) []*relaypb.ServerLoad {
+	if len(earlier) == 0 || len(later) == 0 {
+		return append(slices.Clip(earlier), later...)
+	}
+	replaced := make(map[string]bool, len(later))
+	for _, l := range later {
+		replaced[l.GetServer()] = true
+	}
+	merged := slices.Clone(later)
+	for _, l := range earlier {
+		if !replaced[l.GetServer()] {
+			merged = append(merged, l)
+		}
+	}
+	return merged
+}
+
 // take returns the message to send next, or nil.
 func (l *link) take() *relaypb.CoordinateVerdict {
 	l.mu.Lock()
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -23,6 +23,8 @@
 	// verdictInterval is the minimum time between verdicts on admission, and between reports
 	// without an ask. It is short against the time in which a queue at a server fills.
 	verdictInterval = 50 * time.Millisecond
+	// loadInterval is the minimum time between messages about the loads of servers.
+	loadInterval = 100 * time.Millisecond
 )
 
 var (
@@ -58,6 +60,9 @@
 	verdictsDue, refusing bool
 	lastVerdicts          time.Time
 	gates                 []*relaypb.GateVerdict
+	// loadsDue is set while there may be loads to tell; lastLoads is when they were last computed.
+	loadsDue  bool
+	lastLoads time.Time
 }
 
 func newServer(config Config, log zerolog.Logger) *server {
@@ -102,11 +107,14 @@
 	}
 }
 
-// nextWakeup returns the time of the next tick or verdict.
+// nextWakeup returns the time of the next tick, verdict or message about loads.
 func (s *server) nextWakeup() time.Time {
 	next := s.lastTick.Add(heartbeatInterval)
 	if verdicts := s.lastVerdicts.Add(verdictInterval); (s.verdictsDue || s.refusing) && verdicts.Before(next) {
-		return verdicts
+		next = verdicts
+	}
+	if loads := s.lastLoads.Add(loadInterval); s.loadsDue && loads.Before(next) {
+		next = loads
 	}
 	return next
 }
@@ -131,9 +139,8 @@
 		}
 	}
 	s.config.Ledger.Sweep(now)
-	loads := s.combinedLoads(now)
 	for _, l := range s.links {
-		l.offer(&relaypb.CoordinateVerdict{Gates: s.gates, Loads: loads})
+		l.offer(&relaypb.CoordinateVerdict{Gates: s.gates})
 	}
 	s.logLinks()
 }
@@ -199,7 +206,7 @@
 	l.heard = now
 	s.links[l.host] = l
 	s.config.Ledger.Join(l.host, first.GetIncarnation(), countsFromWire(first.GetRecent()), now)
-	l.offer(&relaypb.CoordinateVerdict{Metered: s.metered, HasMetered: s.meteredVersion > 0, Gates: s.gates})
+	l.offer(&relaypb.CoordinateVerdict{Metered: s.metered, HasMetered: s.meteredVersion > 0, Gates: s.gates, Loads: loadsToWire(s.config.Gates.CombinedLoads())})
 	s.report(l, first, now)
 }
 
@@ -235,7 +242,7 @@
 	}
 	if loads := loadsFromWire(m.GetLoads()); len(loads) > 0 {
 		s.config.Gates.Loads(l.host, loads, now)
-		s.verdictsDue = true
+		s.verdictsDue, s.loadsDue = true, true
 	}
 	if m.GetLeaving() {
 		s.drop(l, errLeft, true, now)
@@ -288,6 +295,9 @@
 	if (s.verdictsDue || s.refusing) && now.Sub(s.lastVerdicts) >= verdictInterval {
 		s.pushVerdicts(now)
 	}
+	if s.loadsDue && now.Sub(s.lastLoads) >= loadInterval {
+		s.pushLoads(now)
+	}
 }
 
 func (s *server) pushMetered(now time.Time) {
@@ -330,16 +340,20 @@
 	if !changed && !s.refusing {
 		return
 	}
-	loads := s.combinedLoads(now)
 	for _, l := range s.links {
-		l.offer(&relaypb.CoordinateVerdict{Gates: s.gates, Loads: loads})
+		l.offer(&relaypb.CoordinateVerdict{Gates: s.gates})
 	}
 }
 
-func (s *server) combinedLoads(now time.Time) []*relaypb.ServerLoad {
-	var loads []*relaypb.ServerLoad
-	for _, l := range s.config.Gates.CombinedLoads(now) {
-		loads = append(loads, loadToWire(l))
+// pushLoads sends the loads of servers that have changed.
+func (s *server) pushLoads(now time.Time) {
+	s.lastLoads = now
+	var changes []Load
+	if changes, s.loadsDue = s.config.Gates.LoadChanges(now); len(changes) == 0 {
+		return
+	}
+	loads := loadsToWire(changes)
+	for _, l := range s.links {
+		l.offer(&relaypb.CoordinateVerdict{Loads: loads})
 	}
-	return loads
 }
--- a/internal/coordination/wire.go
+++ b/internal/coordination/wire.go
@@ -98,6 +98,14 @@
 	}
 }
 
+func loadsToWire(loads []Load) []*relaypb.ServerLoad {
+	list := make([]*relaypb.ServerLoad, len(loads))
+	for i, l := range loads {
+		list[i] = loadToWire(l)
+	}
+	return list
+}
+
 // verdictsFromWire returns the verdicts by service without those that are out of range: without a
 // verdict, a host decides alone.
 func verdictsFromWire(gates []*relaypb.GateVerdict) map[string]admission.Verdict {
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -26,7 +26,7 @@
 		Suspected: g.peerHealth.Suspected, Suspect: g.control.Suspect,
 		State: func() coordination.State { return states.of(g.control.View()) },
 		Meter: quota.NewMeter(bound), Ledger: quota.NewLedger(bound),
-		Gates: newGateKeeper(g), Listener: verdictListener{g.fleet},
+		Gates: newGateKeeper(g), Listener: newVerdictListener(g.fleet, g.log),
 	})
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,13 @@
 // serversAbsent counts the servers found to be absent: nothing listened at the address any more.
 var serversAbsent = metrics.GetOrCreateCounter("mallowgap_servers_absent_total")
 
+var (
+	// sharedLoads is the number of servers that the coordinator told to be loaded; sharedLoadsTime,
+	// when it last told any load, in Unix seconds.
+	sharedLoads     = metrics.GetOrCreateGauge("mallowgap_shared_loads", nil)
+	sharedLoadsTime = metrics.GetOrCreateGauge("mallowgap_shared_loads_timestamp_seconds", nil)
+)
+
 func countAnswer(route string, a Answer) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_requests_total{route=%q,outcome=%q,cause=%q}", route, a.Outcome, a.Cause)).Inc()
 }
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -157,9 +157,9 @@
 // muchSlower reports whether another server that is not forbidden is expected to answer much sooner
 // than server i.
 func (g *group) muchSlower(i int, forbidden uint64, now time.Time) bool {
-	own := g.set.Expected(i, now)
+	own := g.set.Expected(i, now) + g.set.ToldWait(i, now)
 	for j := range g.members {
-		if j != i && forbidden&(1<<j) == 0 && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)))+slowerMargin {
+		if j != i && forbidden&(1<<j) == 0 && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)+g.set.ToldWait(j, now)))+slowerMargin {
 			return true
 		}
 	}
--- a/internal/gateway/sharedgate.go
+++ b/internal/gateway/sharedgate.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,6 +39,8 @@
 	log     zerolog.Logger
 	// gates holds the gates by their name, the first service of the routes.
 	gates map[string]*keptGate
+	// board decides which loads of servers all hosts are told.
+	board *replica.Board
 }
 
 // keptGate is the shared gate of the servers of some routes.
@@ -50,7 +54,7 @@
 }
 
 func newGateKeeper(g *Gateway) *gateKeeper {
-	return &gateKeeper{gateway: g, log: obs.RateLimited(g.log, gateLinesPerSecond), gates: map[string]*keptGate{}}
+	return &gateKeeper{gateway: g, log: obs.RateLimited(g.log, gateLinesPerSecond), gates: map[string]*keptGate{}, board: replica.NewBoard()}
 }
 
 // Offered implements coordination.GateKeeper. Gates that the configuration does not have are ignored.
@@ -73,11 +77,13 @@
 
 // Loads implements coordination.GateKeeper.
 func (k *gateKeeper) Loads(host string, loads []coordination.Load, now time.Time) {
-	if host == k.gateway.name {
-		return // Known from the calls themselves.
-	}
 	for _, l := range loads {
-		if b, servers := k.gateway.findServer(l.Server); b != nil {
+		b, servers := k.gateway.findServer(l.Server)
+		if b == nil {
+			continue
+		}
+		k.board.Observe(replica.ServerLoad{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime}, now)
+		if host != k.gateway.name { // Its own calls are known already.
 			servers.applyLoad(b, l, now)
 		}
 	}
@@ -86,8 +92,25 @@
 // Left implements coordination.GateKeeper. What a host has offered is forgotten soon anyway.
 func (k *gateKeeper) Left(string, time.Time) {}
 
-// CombinedLoads implements coordination.GateKeeper. Hosts need only the verdicts.
-func (k *gateKeeper) CombinedLoads(time.Time) []coordination.Load { return nil }
+// LoadChanges implements coordination.GateKeeper.
+func (k *gateKeeper) LoadChanges(now time.Time) (changes []coordination.Load, again bool) {
+	if !k.gateway.sharesGates(k.gateway.control.View()) {
+		return nil, false
+	}
+	told, again := k.board.Changes(now)
+	return toldLoads(told), again
+}
+
+// CombinedLoads implements coordination.GateKeeper.
+func (k *gateKeeper) CombinedLoads() []coordination.Load { return toldLoads(k.board.Loaded()) }
+
+func toldLoads(told []replica.ServerLoad) []coordination.Load {
+	loads := make([]coordination.Load, len(told))
+	for i, l := range told {
+		loads[i] = coordination.Load{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime}
+	}
+	return loads
+}
 
 // Verdicts implements coordination.GateKeeper.
 func (k *gateKeeper) Verdicts(now time.Time) (verdicts map[string]admission.Verdict, changed bool) {
@@ -149,12 +172,22 @@
 	return fmt.Sprintf("mallowgap_shared_gate_%s{service=%q}", name, service)
 }
 
-// verdictListener passes the coordinator's verdicts to the gates of this host. It implements
+// verdictListener passes what the coordinator tells to the groups of this host. It implements
 // coordination.Listener.
-type verdictListener struct{ fleet *fleet }
+type verdictListener struct {
+	fleet *fleet
+	log   zerolog.Logger
+	mu    sync.Mutex
+	// loaded maps the servers that the coordinator told to be loaded to when it did.
+	loaded map[string]time.Time
+}
+
+func newVerdictListener(f *fleet, log zerolog.Logger) *verdictListener {
+	return &verdictListener{fleet: f, log: obs.RateLimited(log, gateLinesPerSecond), loaded: map[string]time.Time{}}
+}
 
 // VerdictsChanged implements coordination.Listener.
-func (l verdictListener) VerdictsChanged(verdicts map[string]admission.Verdict, now time.Time) {
+func (l *verdictListener) VerdictsChanged(verdicts map[string]admission.Verdict, now time.Time) {
 	for name, v := range verdicts {
 		if g := l.fleet.existingGroup(name); g != nil {
 			g.applyVerdict(v, now)
@@ -163,7 +196,34 @@
 }
 
 // LoadsChanged implements coordination.Listener.
-func (verdictListener) LoadsChanged([]coordination.Load, time.Time) {}
+func (l *verdictListener) LoadsChanged(loads []coordination.Load, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var first coordination.Load
+	changed := 0
+	for _, load := range loads {
+		b := l.fleet.server(load.Server)
+		if b == nil {
+			continue
+		}
+		if l.fleet.group(b.Service).applyTold(b, load, now) {
+			if changed++; changed == 1 {
+				first = load
+			}
+		}
+		l.loaded[load.Server] = now
+		if load.Waiting == 0 {
+			delete(l.loaded, load.Server)
+		}
+	}
+	maps.DeleteFunc(l.loaded, func(_ string, told time.Time) bool { return now.Sub(told) > replica.ToldTTL })
+	sharedLoads.Set(float64(len(l.loaded)))
+	sharedLoadsTime.Set(float64(now.UnixMilli()) / 1000)
+	if changed > 0 {
+		l.log.Info().Int("servers", changed).Int("loaded", len(l.loaded)).Str("server", first.Server).Int("waiting", first.Waiting).Dur("service_time", first.ServiceTime).
+			Msg("the coordinator tells that servers are loaded: others are preferred")
+	}
+}
 
 // existingGroup returns the group of a service, or nil if there is none.
 func (f *fleet) existingGroup(service string) *group {
@@ -186,3 +246,14 @@
 		g.set.ApplyLoad(i, l.Waiting, l.ServiceTime, now)
 	}
 }
+
+// applyTold records the load of a server that all hosts were told. It returns whether the server is
+// loaded and was not before.
+func (g *group) applyTold(b *backend, l coordination.Load, now time.Time) (newlyLoaded bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := g.indexOf(b.leaf); i != replica.None {
+		return g.set.ApplyTold(i, l.Waiting, l.ServiceTime, now)
+	}
+	return false
+}
--- a/internal/gateway/sharedgate_test.go
+++ b/internal/gateway/sharedgate_test.go
@@ -103,3 +103,37 @@
 		assert.Equal(t, countOf(burst, bySharedGate), 0)
 	})
 }
+
+// loadedServers returns how many servers a host was told to be loaded.
+func (cl *cluster) loadedServers(host string) int {
+	n := 0
+	for _, s := range cl.hosts[host].fleet.servers() {
+		g := cl.hosts[host].fleet.group(s.Service)
+		g.mu.Lock()
+		for i, b := range g.members {
+			if b.ID == s.ID && g.set.ToldWait(i, time.Now()) > 0 {
+				n++
+			}
+		}
+		g.mu.Unlock()
+	}
+	return n
+}
+
+// A host without requests learns from the calls of others which servers are loaded, and that they no
+// longer are; in calm, and in a smaller fleet, nobody is told anything.
+func TestIdleHostsLearnLoads(t *testing.T) {
+	for minHosts, shared := range map[uint32]bool{manyHosts: true, manyHosts + 1: false} {
+		withManyHosts(t, minHosts, func(cl *cluster, names []string) {
+			busy, idle := names[:manyHosts/2], names[manyHosts-1]
+			cl.offer(busy, 40, 2*time.Second)
+			assert.Equal(t, cl.loadedServers(idle), 0)
+			time.AfterFunc(900*time.Millisecond, func() {
+				assert.Check(t, (cl.loadedServers(idle) >= 6) == shared, "%d", cl.loadedServers(idle))
+			})
+			cl.offer(busy, 300, time.Second)
+			time.Sleep(time.Second)
+			assert.Equal(t, cl.loadedServers(idle), 0)
+		})
+	}
+}
--- a/replica/set.go
+++ b/replica/set.go
@@ -77,6 +77,9 @@
 	queueLen        int
 	queueReportedAt time.Time
 	reportInterval  time.Duration
+	// toldQueue is the queue length that all hosts were told at toldAt; zero if none was.
+	toldQueue int
+	toldAt    time.Time
 	// serviceTime is the smoothed run time of a request at the leaf, without queueing and
 	// divided by the slowdown of the machine.
 	serviceTime time.Duration
@@ -264,5 +267,5 @@
 	parallel := max(leaf.Concurrency, 1)
 	lossCost := time.Duration(leaf.lossRate * lossPenalty * float64(s.lowestLatency(None)))
 	run := s.runTime(i, now) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
-	return run + leaf.DistancePenalty + lossCost + s.remoteQueueWait(i, now)
+	return run + leaf.DistancePenalty + lossCost + s.remoteQueueWait(i, now) + s.toldSpread(i, now)
 }
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -24,6 +24,14 @@
 	// serviceTimeWeight is the weight of a new sample in the moving average of the service
 	// time.
 	serviceTimeWeight = 0.1
+	// ownQueueTTL is how long a queue length that this host observed goes before the one that all
+	// hosts were told. It covers the way of the observation to all hosts.
+	ownQueueTTL = 150 * time.Millisecond
+	// ToldTTL is how long a told queue length holds. Board repeats it more often.
+	ToldTTL = time.Second
+	// toldSpread is the part of a told wait by which hosts vary it. All hosts are told at once, and
+	// without it all would leave a server together.
+	toldSpread = 0.5
 	// slowdownHalfLife is the half-life of a reported slowdown. It is short because other
 	// processes on the machine start and stop several times a second.
 	slowdownHalfLife = 200 * time.Millisecond
@@ -74,6 +82,43 @@
 	}
 }
 
+// ApplyTold records the queue length and the service time (0 is unknown) of a leaf that all hosts were
+// told. A service time that this host observed a moment ago goes first. It returns whether the leaf is
+// loaded and was not before.
+func (s *Set) ApplyTold(i, waiting int, serviceTime time.Duration, now time.Time) (newlyLoaded bool) {
+	leaf := s.Leaves[i]
+	newlyLoaded = waiting > 0 && leaf.toldWaiting(now) == 0
+	leaf.toldQueue, leaf.toldAt = waiting, now
+	if serviceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.queueReportedAt) > ownQueueTTL) {
+		leaf.serviceTime = serviceTime
+	}
+	return newlyLoaded
+}
+
+// ToldWait returns the wait at a leaf that follows from what all hosts were told; 0 if they were told
+// nothing.
+func (s *Set) ToldWait(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	return leaf.queueWait(float64(leaf.toldWaiting(now)))
+}
+
+// toldSpread returns the random part of the cost of a told queue.
+func (s *Set) toldSpread(i int, now time.Time) time.Duration {
+	wait := s.ToldWait(i, now)
+	if wait == 0 {
+		return 0
+	}
+	return time.Duration(toldSpread * (2*s.rng.Float64() - 1) * float64(wait))
+}
+
+// toldWaiting returns the told queue length while it holds.
+func (l *Leaf) toldWaiting(now time.Time) int {
+	if l.toldAt.IsZero() || now.Sub(l.toldAt) > ToldTTL {
+		return 0
+	}
+	return l.toldQueue
+}
+
 // ServiceTime returns the smoothed run time of a request at a leaf without queueing, as ApplyLoad
 // takes it; 0 is unknown.
 func (s *Set) ServiceTime(i int) time.Duration { return s.Leaves[i].serviceTime }
@@ -124,8 +169,12 @@
 	return run
 }
 
-// reportedQueue returns the queue length that the leaf last reported, decayed by its age.
+// reportedQueue returns the queue length that the leaf last reported, decayed by its age, or what all
+// hosts were told if that is known better.
 func (l *Leaf) reportedQueue(now time.Time) float64 {
+	if told := l.toldWaiting(now); now.Sub(l.queueReportedAt) > ownQueueTTL && (told > 0 || l.toldAt.After(l.queueReportedAt)) {
+		return float64(told)
+	}
 	if l.queueLen == 0 {
 		return 0
 	}
--- a/replica/wait_test.go
+++ b/replica/wait_test.go
@@ -110,3 +110,46 @@
 	assert.Equal(t, s.Wait(0, now.Add(50*time.Millisecond)), 20*time.Millisecond)
 	assert.Equal(t, s.ServiceTime(0), 20*time.Millisecond)
 }
+
+// A host that seldom calls a leaf leaves it for an idle distant one when all hosts are told of its
+// queue, returns when they are told that it is gone, and trusts what it has just seen itself.
+func TestToldQueueMovesRequests(t *testing.T) {
+	s := newSet(2, 4, replica.Observed)
+	s.Leaves[1].DistancePenalty = 40 * ms
+	for i := range s.Leaves {
+		s.Leaves[i].Concurrency = 2
+		s.ReportQueue(i, 0, 30*ms, start)
+		answer(s, i, 30*ms, start)
+	}
+	now := start.Add(500 * ms)
+	assert.Assert(t, s.ApplyTold(0, 8, 30*ms, now))
+	assert.Assert(t, !s.ApplyTold(0, 8, 30*ms, now))
+	assert.Equal(t, s.Pick(now, 0, 0), 1)
+	assert.Equal(t, s.Pick(now.Add(900*ms), 0, 0), 1, "the told queue does not decay while it holds")
+	assert.Equal(t, s.Pick(now.Add(1100*ms), 0, 0), 0, "nobody repeated it")
+	assert.Equal(t, s.Wait(0, now), 120*ms)
+	assert.Equal(t, s.ToldWait(0, now), 120*ms)
+
+	now = now.Add(200 * ms)
+	s.ReportQueue(0, 0, 0, now)
+	assert.Equal(t, s.Pick(now, 0, 0), 0, "seen a moment ago")
+	assert.Equal(t, s.Pick(now.Add(200*ms), 0, 0), 1, "the told queue goes before an old observation")
+	s.ReportQueue(0, 8, 0, now)
+	s.ApplyTold(0, 0, 0, now.Add(200*ms))
+	assert.Equal(t, s.Pick(now.Add(200*ms), 0, 0), 0)
+}
+
+// A host that seldom calls a leaf learns from the others that it became slow.
+func TestToldServiceTime(t *testing.T) {
+	s := newSet(2, 4, replica.Observed)
+	for i := range s.Leaves {
+		s.ReportQueue(i, 0, 20*ms, start)
+		answer(s, i, 20*ms, start)
+	}
+	s.ApplyTold(0, 0, 120*ms, start.Add(time.Second))
+	assert.Equal(t, s.ServiceTime(0), 120*ms)
+	assert.Equal(t, s.Pick(start.Add(time.Second), 0, 0), 1)
+	s.ReportQueue(1, 0, 20*ms, start.Add(time.Second))
+	s.ApplyTold(1, 0, 120*ms, start.Add(1100*ms))
+	assert.Equal(t, s.ServiceTime(1), 20*ms, "seen a moment ago")
+}
