--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -117,7 +117,8 @@
 // Offer reports work that was offered to admission at this host.
 func (c *Coordination) Offer(service string, o admission.Offered) { c.account.offer(service, o) }
 
-// ObserveLoad reports the load of a server.
+// ObserveLoad reports the load of a server; with no waiting requests and a service time of 0, only the
+// number of calls in flight.
 func (c *Coordination) ObserveLoad(server string, waiting int, serviceTime time.Duration, inFlight int) {
 	c.account.observeLoad(Load{Server: server, Waiting: waiting, ServiceTime: serviceTime, InFlight: inFlight})
 }
@@ -228,6 +229,9 @@
 	if !a.streaming {
 		return
 	}
+	if earlier, ok := a.loads[l.Server]; ok && l.StartsOnly() {
+		l.Waiting, l.ServiceTime = earlier.Waiting, earlier.ServiceTime
+	}
 	a.loads[l.Server] = l
 	signal(a.news)
 }
--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -77,6 +77,9 @@
 	InFlight int
 }
 
+// StartsOnly reports whether a load reports only the start of calls.
+func (l Load) StartsOnly() bool { return l.Waiting == 0 && l.ServiceTime == 0 }
+
 // GateKeeper decides on admission for all hosts at the coordinator. Only the goroutine that owns
 // the ledger calls it, so it must not block.
 type GateKeeper interface {
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -221,10 +221,6 @@
 type serverChange struct {
 	// runTime is how long the request ran at the server; 0 is unknown.
 	runTime time.Duration
-	// serviceTime is the smoothed run time of requests at the server; 0 is unknown. inFlight is the
-	// number of calls of this host in flight there.
-	serviceTime time.Duration
-	inFlight    int
 	// ejected reports that the server was ejected after failures, absent that nothing listens at
 	// its address any more, returned that an absent server answered again.
 	ejected, absent, returned bool
@@ -250,7 +246,6 @@
 	}
 	if e.load.Known {
 		change.runTime = g.set.ReportQueue(i, e.load.Waiting, e.atServer, now)
-		change.serviceTime, change.inFlight = g.set.ServiceTime(i), leaf.Slots.InUse()
 	}
 	if e.absent {
 		g.set.MarkAbsent(i, now)
@@ -270,6 +265,18 @@
 	return change
 }
 
+// state returns the smoothed run time of requests at the server (0 is unknown) and the number of calls
+// of this host in flight there.
+func (c *call) state() (serviceTime time.Duration, inFlight int) {
+	g := c.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := g.indexOf(c.backend.leaf); i != replica.None {
+		serviceTime = g.set.ServiceTime(i)
+	}
+	return serviceTime, c.backend.leaf.Slots.InUse()
+}
+
 // abandon releases the slot of a call that was not made.
 func (c *call) abandon() {
 	c.group.mu.Lock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/internal/peer"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 // sendDirect calls a server from this host.
@@ -47,6 +48,7 @@
 func (g *Gateway) callOnce(ctx context.Context, c *call, r *Request, timeout time.Duration, freshConn bool) result {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	g.reportStart(c)
 	reply, err := g.adapters.Backends.Call(callCtx, c.backend.Server, r, timeout, freshConn)
 	now := time.Now()
 	elapsed := now.Sub(c.started)
@@ -62,9 +64,7 @@
 	}
 	change := c.end(callEnd{result: evidence, elapsed: elapsed, atServer: serverTime(out, elapsed), load: out.load, absent: out.absent || out.serverCrashed}, now)
 	out.runTime = change.runTime
-	if out.load.Known && g.sharesGates(g.control.View()) {
-		g.coordination.ObserveLoad(c.backend.ID, out.load.Waiting, change.serviceTime, change.inFlight)
-	}
+	g.reportEnd(c, out.load, change)
 	g.logServerChange(c.backend, change, out.reason)
 	if out.load.Unreadable != "" {
 		g.logUnreadable(c.backend, out.load.Unreadable)
@@ -76,6 +76,33 @@
 	return out
 }
 
+// reportStart reports the start of a call to the coordinator if requests run long at the server.
+func (g *Gateway) reportStart(c *call) {
+	if !g.sharesGates(g.control.View()) {
+		return
+	}
+	if serviceTime, inFlight := c.state(); serviceTime >= replica.LongRun {
+		g.coordination.ObserveLoad(c.backend.ID, 0, 0, inFlight)
+	}
+}
+
+// reportEnd reports the load of a server at the end of a call to the coordinator. Where requests run
+// long, it reports how long this one ran, as the own average is of few calls.
+func (g *Gateway) reportEnd(c *call, load Load, change serverChange) {
+	if !g.sharesGates(g.control.View()) {
+		return
+	}
+	serviceTime, inFlight := c.state()
+	if change.runTime >= replica.LongRun {
+		serviceTime = change.runTime
+	}
+	if load.Known {
+		g.coordination.ObserveLoad(c.backend.ID, load.Waiting, serviceTime, inFlight)
+	} else if serviceTime >= replica.LongRun {
+		g.coordination.ObserveLoad(c.backend.ID, 0, 0, inFlight)
+	}
+}
+
 // logServerChange logs what a call changed in the state of its server.
 func (g *Gateway) logServerChange(b *backend, change serverChange, reason string) {
 	if change.ejected {
--- a/internal/gateway/sharedgate.go
+++ b/internal/gateway/sharedgate.go
@@ -82,15 +82,15 @@
 		if b == nil {
 			continue
 		}
-		k.board.Observe(replica.ServerLoad{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime}, now)
-		if host != k.gateway.name { // Its own calls are known already.
+		k.board.Observe(host, replica.ServerLoad{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime, InFlight: l.InFlight}, b.Slots, now)
+		if host != k.gateway.name && !l.StartsOnly() { // Its own calls are known already.
 			servers.applyLoad(b, l, now)
 		}
 	}
 }
 
 // Left implements coordination.GateKeeper. What a host has offered is forgotten soon anyway.
-func (k *gateKeeper) Left(string, time.Time) {}
+func (k *gateKeeper) Left(host string, _ time.Time) { k.board.Left(host) }
 
 // LoadChanges implements coordination.GateKeeper.
 func (k *gateKeeper) LoadChanges(now time.Time) (changes []coordination.Load, again bool) {
@@ -107,7 +107,7 @@
 func toldLoads(told []replica.ServerLoad) []coordination.Load {
 	loads := make([]coordination.Load, len(told))
 	for i, l := range told {
-		loads[i] = coordination.Load{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime}
+		loads[i] = coordination.Load{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime, InFlight: l.InFlight}
 	}
 	return loads
 }
@@ -212,7 +212,7 @@
 			}
 		}
 		l.loaded[load.Server] = now
-		if load.Waiting == 0 {
+		if load.Waiting == 0 && load.InFlight < max(b.Slots, 1) {
 			delete(l.loaded, load.Server)
 		}
 	}
@@ -253,7 +253,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if i := g.indexOf(b.leaf); i != replica.None {
-		return g.set.ApplyTold(i, l.Waiting, l.ServiceTime, now)
+		return g.set.ApplyTold(i, replica.ServerLoad{Waiting: l.Waiting, ServiceTime: l.ServiceTime, InFlight: l.InFlight}, now)
 	}
 	return false
 }
--- a/replica/board.go
+++ b/replica/board.go
@@ -27,8 +27,19 @@
 	// boardRepeat is the interval at which a queue that stays is told again; hosts forget it after
 	// ToldTTL.
 	boardRepeat = 400 * time.Millisecond
-	// boardForget is the time without observations after which a server is forgotten.
-	boardForget = 10 * time.Second
+	// LongRun is the service time from which hosts report also the start of calls: where requests run
+	// that long, the reports of their ends are rare and late. Their run times are told from the first
+	// one, as hosts seldom call the server themselves.
+	LongRun = 100 * time.Millisecond
+	// longRunWeight is the weight of a new sample in the average of a long run time. Samples are few
+	// and vary little.
+	longRunWeight = 0.5
+	// maxInFlightAge is how long the calls of a host count without a report of it.
+	maxInFlightAge = 20 * time.Second
+	// boardForget is the time without observations after which a server is forgotten, and
+	// longRunForget the one after which a server with long run times is.
+	boardForget   = 10 * time.Second
+	longRunForget = 10 * time.Minute
 )
 
 // ServerLoad is what all hosts are told of a server.
@@ -38,6 +49,9 @@
 	Waiting int
 	// ServiceTime is the run time of a request without its wait; 0 is unknown.
 	ServiceTime time.Duration
+	// InFlight is the number of requests in flight there, of one host if it is observed and of all
+	// if it is told. It is told only if requests run long.
+	InFlight int
 }
 
 // Board combines what hosts observe of servers, and decides what to tell all hosts. It answers
@@ -56,39 +70,71 @@
 	// calls.
 	told   ServerLoad
 	toldAt time.Time
+	slots  int
+	// calls holds the calls in flight by host.
+	calls map[string]hostCalls
+}
+
+// hostCalls is the number of calls in flight from one host.
+type hostCalls struct {
+	n          int
+	reportedAt time.Time
 }
 
 // NewBoard returns a Board on which no server is loaded.
 func NewBoard() *Board { return &Board{servers: map[string]*boardEntry{}} }
 
-// Observe records the load of a server that a host observed at about now.
-func (b *Board) Observe(l ServerLoad, now time.Time) {
+// Observe records the load of a server with a number of slots that a host observed at about now. A
+// load with calls in flight only reports the start of one.
+func (b *Board) Observe(host string, l ServerLoad, slots int, now time.Time) {
 	e := b.servers[l.Server]
 	if e == nil {
-		e = &boardEntry{told: ServerLoad{Server: l.Server}}
+		e = &boardEntry{told: ServerLoad{Server: l.Server}, calls: map[string]hostCalls{}}
 		b.servers[l.Server] = e
 	}
+	e.slots = slots
+	if e.calls[host] = (hostCalls{l.InFlight, now}); l.InFlight == 0 {
+		delete(e.calls, host)
+	}
+	if l.Waiting == 0 && l.ServiceTime == 0 {
+		return
+	}
 	weight := 1.0
 	if !e.observedAt.IsZero() {
 		weight = max(boardMinWeight, 1-math.Exp2(-float64(now.Sub(e.observedAt))/float64(boardHalfLife)))
 	}
 	e.queue += weight * (float64(l.Waiting) - e.queue)
-	if l.ServiceTime > 0 && e.serviceTime == 0 {
-		e.serviceTime = l.ServiceTime
-	} else if l.ServiceTime > 0 {
-		e.serviceTime += time.Duration(weight * float64(l.ServiceTime-e.serviceTime))
+	e.observeServiceTime(l.ServiceTime, weight)
+	e.observedAt = now
+}
+
+// observeServiceTime adds a service time to the average.
+func (e *boardEntry) observeServiceTime(sample time.Duration, weight float64) {
+	if sample >= LongRun && e.serviceTime >= LongRun {
+		weight = longRunWeight
+	}
+	if sample > 0 && e.serviceTime == 0 {
+		e.serviceTime = sample
+	} else if sample > 0 {
+		e.serviceTime += time.Duration(weight * float64(sample-e.serviceTime))
 	}
-	if e.told.ServiceTime == 0 {
+	if e.told.ServiceTime == 0 && e.serviceTime < LongRun {
 		e.told.ServiceTime = e.serviceTime
 	}
-	e.observedAt = now
+}
+
+// Left forgets the calls in flight from a host.
+func (b *Board) Left(host string) {
+	for _, e := range b.servers {
+		delete(e.calls, host)
+	}
 }
 
 // Changes returns what hosts have to be told, the most loaded servers first, and whether it must be
 // called again although nothing is observed meanwhile.
 func (b *Board) Changes(now time.Time) (changes []ServerLoad, again bool) {
 	for server, e := range b.servers {
-		if now.Sub(e.observedAt) > boardForget && e.told.Waiting == 0 {
+		if e.idle(now) {
 			delete(b.servers, server)
 		} else if l, changed := e.change(now); changed {
 			changes = append(changes, l)
@@ -104,16 +150,23 @@
 		e.told, e.toldAt = l, now
 	}
 	for _, e := range b.servers {
-		again = again || e.told.Waiting > 0
+		again = again || e.told.Waiting > 0 || e.told.InFlight >= e.slots && e.slots > 0
 	}
 	return changes, again
 }
 
-// Loaded returns what a host that has heard nothing has to be told: the servers with queues.
+// idle reports whether a server can be forgotten.
+func (e *boardEntry) idle(now time.Time) bool {
+	unseen := now.Sub(e.observedAt)
+	return unseen > boardForget && len(e.calls) == 0 && e.told.Waiting == 0 && (e.told.ServiceTime < LongRun || unseen > longRunForget)
+}
+
+// Loaded returns what a host that has heard nothing has to be told: the servers with queues,
+// and those with long run times.
 func (b *Board) Loaded() []ServerLoad {
 	var loaded []ServerLoad
 	for _, e := range b.servers {
-		if e.told.Waiting > 0 {
+		if e.told.Waiting > 0 || e.told.ServiceTime >= LongRun {
 			loaded = append(loaded, e.told)
 		}
 	}
@@ -124,23 +177,45 @@
 // weight orders changes by the wait at the server, before or after the change.
 func (b *Board) weight(l ServerLoad) time.Duration {
 	told := b.servers[l.Server].told
-	return max(time.Duration(l.Waiting)*l.ServiceTime, time.Duration(told.Waiting)*told.ServiceTime)
+	return max(time.Duration(max(l.Waiting, l.InFlight))*l.ServiceTime, time.Duration(max(told.Waiting, told.InFlight))*told.ServiceTime)
 }
 
 // change returns the load of a server, and whether it has to be told.
 func (e *boardEntry) change(now time.Time) (ServerLoad, bool) {
 	l := ServerLoad{Server: e.told.Server, Waiting: e.waiting(now), ServiceTime: e.serviceTime}
-	switch {
+	if e.serviceTime >= LongRun {
+		l.InFlight = e.inFlight(now)
+	}
+	switch full := max(l.InFlight, e.told.InFlight) >= e.slots && e.slots > 0; {
+	case l.InFlight != e.told.InFlight && full:
+		return l, true
+	case full && now.Sub(e.toldAt) >= boardRepeat:
+		return l, true
 	case differs(l.ServiceTime, e.told.ServiceTime):
 		return l, true
+	case l.Waiting == 0 && e.told.Waiting == 0:
+		return l, false
 	case e.told.Waiting == 0 || l.Waiting == 0:
-		return l, l.Waiting != e.told.Waiting
+		return l, true
 	case l.Waiting >= queueFactor*e.told.Waiting || queueFactor*l.Waiting <= e.told.Waiting:
 		return l, true
 	}
 	return l, now.Sub(e.toldAt) >= boardRepeat
 }
 
+// inFlight returns the number of calls in flight from all hosts.
+func (e *boardEntry) inFlight(now time.Time) int {
+	n := 0
+	for host, c := range e.calls {
+		if now.Sub(c.reportedAt) > maxInFlightAge {
+			delete(e.calls, host)
+		} else {
+			n += c.n
+		}
+	}
+	return n
+}
+
 // waiting returns the queue of a server; without further observations it drains.
 func (e *boardEntry) waiting(now time.Time) int {
 	queue := e.queue * math.Exp2(-float64(now.Sub(e.observedAt))/float64(queueHalfLife))
--- a/replica/board_test.go
+++ b/replica/board_test.go
@@ -11,7 +11,7 @@
 // observe records the same load at an interval until the given time, and returns the messages.
 func observe(b *Board, l ServerLoad, from, until time.Time) (messages [][]ServerLoad) {
 	for now := from; now.Before(until); now = now.Add(BoardInterval / 2) {
-		b.Observe(l, now)
+		b.Observe("h", l, 2, now)
 		if changes, _ := b.Changes(now); len(changes) > 0 {
 			messages = append(messages, changes)
 		}
@@ -28,7 +28,7 @@
 		if i%10 == 9 {
 			waiting = 1
 		}
-		b.Observe(ServerLoad{Server: "s", Waiting: waiting, ServiceTime: time.Duration(20+i%4) * time.Millisecond}, now)
+		b.Observe("h", ServerLoad{Server: "s", Waiting: waiting, ServiceTime: time.Duration(20+i%4) * time.Millisecond}, 2, now)
 		now = now.Add(30 * time.Millisecond)
 		changes, again := b.Changes(now)
 		assert.Equal(t, len(changes), 0, "%v", changes)
@@ -76,7 +76,7 @@
 	b := NewBoard()
 	const servers = 2*maxBoardChanges + 1
 	for i := range servers {
-		b.Observe(ServerLoad{Server: fmt.Sprint("s", i), Waiting: 1 + i, ServiceTime: time.Millisecond}, now)
+		b.Observe("h", ServerLoad{Server: fmt.Sprint("s", i), Waiting: 1 + i, ServiceTime: time.Millisecond}, 2, now)
 	}
 	told := map[string]bool{}
 	for range 3 {
--- a/replica/set.go
+++ b/replica/set.go
@@ -18,6 +18,9 @@
 	// of the fastest replica. It covers the time to notice the loss, the retry, and the
 	// retry budget that it uses.
 	lossPenalty = 6
+	// toldProbeFactor is how many times less often a leaf is probed of which all hosts were told that
+	// requests run long there: one probe tells all.
+	toldProbeFactor = 30
 	// minOutlierLatency is the latency up to which a replica is never an outlier.
 	minOutlierLatency = time.Millisecond
 )
@@ -65,6 +68,8 @@
 	ejections    int
 	ejectedUntil time.Time
 	lastProbe    time.Time
+	// probeDrawnAt is when a probe was last drawn for the leaf, by chance.
+	probeDrawnAt time.Time
 	// lastAnswer is the time of the last reply, lastObserved that of the last reply, failure
 	// or abandoned request.
 	lastAnswer, lastObserved time.Time
@@ -199,7 +204,7 @@
 		if !s.allowed(i, exclude) || !leaf.Slots.Free(now) || now.Sub(leaf.lastProbe) < every {
 			continue
 		}
-		if s.avoided(i, now) {
+		if s.avoided(i, now) && s.drawProbe(leaf, now, every) {
 			leaf.lastProbe = now
 			return i
 		}
@@ -207,6 +212,21 @@
 	return None
 }
 
+// drawProbe reports whether to probe an avoided leaf. Where all hosts were told that requests run long,
+// each draws with a chance that grows with the time since it last did: the first requests of all hosts
+// would be probes otherwise, and a large part of the few that each sends.
+func (s *Set) drawProbe(leaf *Leaf, now time.Time, every time.Duration) bool {
+	if !leaf.toldLong() {
+		return true
+	}
+	since := now.Sub(leaf.probeDrawnAt)
+	if leaf.probeDrawnAt.IsZero() {
+		since = 0
+	}
+	leaf.probeDrawnAt = now
+	return s.rng.Float64() < float64(since)/float64(toldProbeFactor*every)
+}
+
 // AvoidedMask returns the bit set of replicas that are ejected or much slower than
 // another one, where a retry or a hedge is not expected to be faster.
 func (s *Set) AvoidedMask(now time.Time) uint64 {
@@ -267,5 +287,5 @@
 	parallel := max(leaf.Concurrency, 1)
 	lossCost := time.Duration(leaf.lossRate * lossPenalty * float64(s.lowestLatency(None)))
 	run := s.runTime(i, now) * time.Duration(leaf.Slots.InUse()+parallel) / time.Duration(parallel)
-	return run + leaf.DistancePenalty + lossCost + s.remoteQueueWait(i, now) + s.toldSpread(i, now)
+	return run + leaf.DistancePenalty + lossCost + s.remoteQueueWait(i, now) + s.spread(i, now)
 }
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -29,8 +29,8 @@
 	ownQueueTTL = 150 * time.Millisecond
 	// ToldTTL is how long a told queue length holds. Board repeats it more often.
 	ToldTTL = time.Second
-	// toldSpread is the part of a told wait by which hosts vary it. All hosts are told at once, and
-	// without it all would leave a server together.
+	// toldSpread is the part of a told wait, and of a long run time, by which hosts vary it. All hosts
+	// are told at once, and without it all would leave a server, or choose the fastest one, together.
 	toldSpread = 0.5
 	// slowdownHalfLife is the half-life of a reported slowdown. It is short because other
 	// processes on the machine start and stop several times a second.
@@ -82,15 +82,18 @@
 	}
 }
 
-// ApplyTold records the queue length and the service time (0 is unknown) of a leaf that all hosts were
-// told. A service time that this host observed a moment ago goes first. It returns whether the leaf is
-// loaded and was not before.
-func (s *Set) ApplyTold(i, waiting int, serviceTime time.Duration, now time.Time) (newlyLoaded bool) {
+// ApplyTold records the load of a leaf that all hosts were told. What this host observed a moment ago
+// goes first. It returns whether the leaf is loaded and was not before.
+func (s *Set) ApplyTold(i int, l ServerLoad, now time.Time) (newlyLoaded bool) {
 	leaf := s.Leaves[i]
-	newlyLoaded = waiting > 0 && leaf.toldWaiting(now) == 0
-	leaf.toldQueue, leaf.toldAt = waiting, now
-	if serviceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.queueReportedAt) > ownQueueTTL) {
-		leaf.serviceTime = serviceTime
+	queue := max(l.Waiting, l.InFlight-max(leaf.Concurrency, 1)+1)
+	newlyLoaded = queue > 0 && leaf.toldWaiting(now) == 0
+	leaf.toldQueue, leaf.toldAt = queue, now
+	if l.ServiceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.queueReportedAt) > ownQueueTTL) {
+		leaf.serviceTime = l.ServiceTime
+		if l.ServiceTime >= LongRun || leaf.latency >= LongRun {
+			leaf.latency, leaf.abandoned = l.ServiceTime, 0 // The own average is of few calls, long ago.
+		}
 	}
 	return newlyLoaded
 }
@@ -102,15 +105,22 @@
 	return leaf.queueWait(float64(leaf.toldWaiting(now)))
 }
 
-// toldSpread returns the random part of the cost of a told queue.
-func (s *Set) toldSpread(i int, now time.Time) time.Duration {
-	wait := s.ToldWait(i, now)
-	if wait == 0 {
+// spread returns the random part of the cost of a leaf that follows from what all hosts were told.
+func (s *Set) spread(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	varied := s.ToldWait(i, now)
+	if leaf.toldLong() {
+		varied += leaf.serviceTime
+	}
+	if varied == 0 {
 		return 0
 	}
-	return time.Duration(toldSpread * (2*s.rng.Float64() - 1) * float64(wait))
+	return time.Duration(toldSpread * (2*s.rng.Float64() - 1) * float64(varied))
 }
 
+// toldLong reports whether all hosts were told of the leaf, and requests run long there.
+func (l *Leaf) toldLong() bool { return !l.toldAt.IsZero() && l.serviceTime >= LongRun }
+
 // toldWaiting returns the told queue length while it holds.
 func (l *Leaf) toldWaiting(now time.Time) int {
 	if l.toldAt.IsZero() || now.Sub(l.toldAt) > ToldTTL {
--- a/replica/wait_test.go
+++ b/replica/wait_test.go
@@ -122,8 +122,8 @@
 		answer(s, i, 30*ms, start)
 	}
 	now := start.Add(500 * ms)
-	assert.Assert(t, s.ApplyTold(0, 8, 30*ms, now))
-	assert.Assert(t, !s.ApplyTold(0, 8, 30*ms, now))
+	assert.Assert(t, s.ApplyTold(0, replica.ServerLoad{Waiting: 8, ServiceTime: 30 * ms}, now))
+	assert.Assert(t, !s.ApplyTold(0, replica.ServerLoad{Waiting: 8, ServiceTime: 30 * ms}, now))
 	assert.Equal(t, s.Pick(now, 0, 0), 1)
 	assert.Equal(t, s.Pick(now.Add(900*ms), 0, 0), 1, "the told queue does not decay while it holds")
 	assert.Equal(t, s.Pick(now.Add(1100*ms), 0, 0), 0, "nobody repeated it")
@@ -135,7 +135,7 @@
 	assert.Equal(t, s.Pick(now, 0, 0), 0, "seen a moment ago")
 	assert.Equal(t, s.Pick(now.Add(200*ms), 0, 0), 1, "the told queue goes before an old observation")
 	s.ReportQueue(0, 8, 0, now)
-	s.ApplyTold(0, 0, 0, now.Add(200*ms))
+	s.ApplyTold(0, replica.ServerLoad{Waiting: 0, ServiceTime: 0}, now.Add(200*ms))
 	assert.Equal(t, s.Pick(now.Add(200*ms), 0, 0), 0)
 }
 
@@ -146,10 +146,10 @@
 		s.ReportQueue(i, 0, 20*ms, start)
 		answer(s, i, 20*ms, start)
 	}
-	s.ApplyTold(0, 0, 120*ms, start.Add(time.Second))
+	s.ApplyTold(0, replica.ServerLoad{Waiting: 0, ServiceTime: 120 * ms}, start.Add(time.Second))
 	assert.Equal(t, s.ServiceTime(0), 120*ms)
 	assert.Equal(t, s.Pick(start.Add(time.Second), 0, 0), 1)
 	s.ReportQueue(1, 0, 20*ms, start.Add(time.Second))
-	s.ApplyTold(1, 0, 120*ms, start.Add(1100*ms))
+	s.ApplyTold(1, replica.ServerLoad{Waiting: 0, ServiceTime: 120 * ms}, start.Add(1100*ms))
 	assert.Equal(t, s.ServiceTime(1), 20*ms, "seen a moment ago")
 }
