--- a/replica/board.go
+++ b/replica/board.go
@@ -31,9 +31,10 @@
 	// that long, the reports of their ends are rare and late. Their run times are told from the first
 	// one, as hosts seldom call the server themselves.
 	LongRun = 100 * time.Millisecond
-	// longRunWeight is the weight of a new sample in the average of a long run time. Samples are few
-	// and vary little.
-	longRunWeight = 0.5
+	// shorterRunWeight and longerRunWeight are the weights of a new sample in the average of a long
+	// run time. Samples are few, and vary upwards by what is left in them of waits.
+	shorterRunWeight = 0.5
+	longerRunWeight  = 0.2
 	// maxInFlightAge is how long the calls of a host count without a report of it.
 	maxInFlightAge = 20 * time.Second
 	// boardForget is the time without observations after which a server is forgotten, and
@@ -111,7 +112,9 @@
 // observeServiceTime adds a service time to the average.
 func (e *boardEntry) observeServiceTime(sample time.Duration, weight float64) {
 	if sample >= LongRun && e.serviceTime >= LongRun {
-		weight = longRunWeight
+		if weight = longerRunWeight; sample < e.serviceTime {
+			weight = shorterRunWeight
+		}
 	}
 	if sample > 0 && e.serviceTime == 0 {
 		e.serviceTime = sample
--- a/replica/longrun_test.go
+++ b/replica/longrun_test.go
@@ -40,6 +40,7 @@
 
 type longRequest struct {
 	host, server int
+	queueAtStart int
 	came         time.Time
 }
 
@@ -91,6 +92,7 @@
 	} else if r.server = set.Probe(p.now, 0, 8*time.Second*choosers/6); r.server == replica.None {
 		r.server = set.Pick(p.now, 0, 0)
 	}
+	r.queueAtStart = set.QueueAtStart(r.server, p.now)
 	set.Acquire(r.server, p.now)
 	p.report(r, 0, 0)
 	p.queues[r.server] = append(p.queues[r.server], r)
@@ -125,7 +127,7 @@
 	p.running[i]--
 	p.serve(i)
 	set.Leaves[i].Slots.Release()
-	sample := set.ReportQueue(i, len(p.queues[i]), took, p.now)
+	sample := set.ReportRun(i, len(p.queues[i]), r.queueAtStart, took, p.now)
 	set.Answered(i, took, p.now)
 	p.report(r, len(p.queues[i]), sample)
 }
@@ -177,7 +179,7 @@
 // Hosts that each send a few long requests a minute choose nearly as well as one who sees all queues,
 // also while four servers of ten are five times slower.
 func TestLongRequestsSpread(t *testing.T) {
-	for _, perSecond := range []float64{10, 20, 40} {
+	for _, perSecond := range []float64{10, 16, 25, 40} {
 		for seed := range uint64(3) {
 			var p99 [2][2]time.Duration
 			for which, all := range []bool{false, true} {
@@ -190,6 +192,7 @@
 				for i := range 4 {
 					p.slow[i*2+1] = 5
 				}
+				p.run(5 * time.Second)
 				median[1], p99[which][1] = p.run(60 * time.Second)
 				t.Logf("%v/s all %v: p50 %v p99 %v; slow: p50 %v p99 %v", perSecond, all, median[0], p99[which][0], median[1], p99[which][1])
 			}
--- a/replica/set.go
+++ b/replica/set.go
@@ -20,7 +20,7 @@
 	lossPenalty = 6
 	// toldProbeFactor is how many times less often a leaf is probed of which all hosts were told that
 	// requests run long there: one probe tells all.
-	toldProbeFactor = 30
+	toldProbeFactor = 45
 	// minOutlierLatency is the latency up to which a replica is never an outlier.
 	minOutlierLatency = time.Millisecond
 )
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -56,13 +56,28 @@
 // and returns the estimated run time of that request without queueing. With an elapsed of 0
 // only the queue length is recorded.
 func (s *Set) ReportQueue(i, waiting int, elapsed time.Duration, now time.Time) time.Duration {
+	return s.ReportRun(i, waiting, 0, elapsed, now)
+}
+
+// QueueAtStart returns the queue that a request finds that starts now at a leaf with long run times,
+// according to what all hosts were told; 0 if nothing was told.
+func (s *Set) QueueAtStart(i int, now time.Time) int {
+	if leaf := s.Leaves[i]; leaf.toldLong() {
+		return leaf.toldWaiting(now)
+	}
+	return 0
+}
+
+// ReportRun is ReportQueue for a request that found a known queue. Where requests run long, the queue
+// at the end tells little about it.
+func (s *Set) ReportRun(i, waiting, queueAtStart int, elapsed time.Duration, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	leaf.noteQueue(waiting, now)
 	if elapsed <= 0 {
 		return 0
 	}
 	parallel := max(leaf.Concurrency, 1)
-	sample := elapsed * time.Duration(parallel) / time.Duration(parallel+waiting)
+	sample := elapsed * time.Duration(parallel) / time.Duration(parallel+max(waiting, queueAtStart))
 	nominal := time.Duration(float64(sample) / leaf.expectedSlowdown(now))
 	if leaf.serviceTime == 0 {
 		leaf.serviceTime = nominal
