--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -265,16 +265,16 @@
 	return change
 }
 
-// state returns the smoothed run time of requests at the server (0 is unknown) and the number of calls
-// of this host in flight there.
-func (c *call) state() (serviceTime time.Duration, inFlight int) {
+// state returns the smoothed run time of requests at the server (0 is unknown), the number of calls of
+// this host in flight there, and whether requests run long at all servers of the group.
+func (c *call) state() (serviceTime time.Duration, inFlight int, long bool) {
 	g := c.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if i := g.indexOf(c.backend.leaf); i != replica.None {
 		serviceTime = g.set.ServiceTime(i)
 	}
-	return serviceTime, c.backend.leaf.Slots.InUse()
+	return serviceTime, c.backend.leaf.Slots.InUse(), g.set.LongRuns()
 }
 
 // abandon releases the slot of a call that was not made.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,7 +10,6 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/internal/peer"
-	"github.com/mallowgap/mallowgap/replica"
 )
 
 // sendDirect calls a server from this host.
@@ -81,7 +80,7 @@
 	if !g.sharesGates(g.control.View()) {
 		return
 	}
-	if serviceTime, inFlight := c.state(); serviceTime >= replica.LongRun {
+	if _, inFlight, long := c.state(); long {
 		g.coordination.ObserveLoad(c.backend.ID, 0, 0, inFlight)
 	}
 }
@@ -92,13 +91,13 @@
 	if !g.sharesGates(g.control.View()) {
 		return
 	}
-	serviceTime, inFlight := c.state()
-	if change.runTime >= replica.LongRun {
+	serviceTime, inFlight, long := c.state()
+	if long && change.runTime > 0 {
 		serviceTime = change.runTime
 	}
 	if load.Known {
 		g.coordination.ObserveLoad(c.backend.ID, load.Waiting, serviceTime, inFlight)
-	} else if serviceTime >= replica.LongRun {
+	} else if long {
 		g.coordination.ObserveLoad(c.backend.ID, 0, 0, inFlight)
 	}
 }
--- a/replica/board.go
+++ b/replica/board.go
@@ -31,10 +31,14 @@
 	// that long, the reports of their ends are rare and late. Their run times are told from the first
 	// one, as hosts seldom call the server themselves.
 	LongRun = 100 * time.Millisecond
-	// shorterRunWeight and longerRunWeight are the weights of a new sample in the average of a long
-	// run time. Samples are few, and vary upwards by what is left in them of waits.
-	shorterRunWeight = 0.5
-	longerRunWeight  = 0.2
+	// A long run time is the time for which slots were busy, divided by the requests that ended: waits
+	// do not count, however long they were. Each end reduces the weight of earlier ones to
+	// longRunMemory, and so does time by longRunHalfLife.
+	longRunMemory   = 0.8
+	longRunHalfLife = 5 * time.Second
+	// overdueFactor is the multiple of the run time after which requests that have not ended show that
+	// it became longer.
+	overdueFactor = 2
 	// maxInFlightAge is how long the calls of a host count without a report of it.
 	maxInFlightAge = 20 * time.Second
 	// boardForget is the time without observations after which a server is forgotten, and
@@ -72,6 +76,13 @@
 	told   ServerLoad
 	toldAt time.Time
 	slots  int
+	// long is set if requests ran long from the first one; a server that turns slow is not meant.
+	long bool
+	// busy is the time for which slots were busy since the last end of a request, known up to busyAt.
+	// sumBusy and sumEnds are the decayed sums at endedAt.
+	busy             time.Duration
+	busyAt, endedAt  time.Time
+	sumBusy, sumEnds float64
 	// calls holds the calls in flight by host.
 	calls map[string]hostCalls
 }
@@ -94,6 +105,8 @@
 		b.servers[l.Server] = e
 	}
 	e.slots = slots
+	e.addBusy(now)
+	started, ended := e.calls[host].n > 0, e.calls[host].n-l.InFlight
 	if e.calls[host] = (hostCalls{l.InFlight, now}); l.InFlight == 0 {
 		delete(e.calls, host)
 	}
@@ -105,27 +118,58 @@
 		weight = max(boardMinWeight, 1-math.Exp2(-float64(now.Sub(e.observedAt))/float64(boardHalfLife)))
 	}
 	e.queue += weight * (float64(l.Waiting) - e.queue)
-	e.observeServiceTime(l.ServiceTime, weight)
+	if e.long && started && l.ServiceTime > 0 {
+		e.observeEnds(max(ended, 1), now)
+	} else {
+		e.observeServiceTime(l.ServiceTime, weight)
+	}
 	e.observedAt = now
 }
 
 // observeServiceTime adds a service time to the average.
 func (e *boardEntry) observeServiceTime(sample time.Duration, weight float64) {
-	if sample >= LongRun && e.serviceTime >= LongRun {
-		if weight = longerRunWeight; sample < e.serviceTime {
-			weight = shorterRunWeight
-		}
-	}
 	if sample > 0 && e.serviceTime == 0 {
-		e.serviceTime = sample
+		e.serviceTime, e.long = sample, sample >= LongRun
 	} else if sample > 0 {
 		e.serviceTime += time.Duration(weight * float64(sample-e.serviceTime))
 	}
-	if e.told.ServiceTime == 0 && e.serviceTime < LongRun {
+	if e.told.ServiceTime == 0 && !e.long {
 		e.told.ServiceTime = e.serviceTime
 	}
 }
 
+// addBusy adds the time for which slots were busy until now.
+func (e *boardEntry) addBusy(now time.Time) {
+	if !e.busyAt.IsZero() {
+		e.busy += time.Duration(min(e.inFlight(now), e.slots)) * now.Sub(e.busyAt)
+	}
+	e.busyAt = now
+}
+
+// observeEnds records that requests ended at a server where they run long.
+func (e *boardEntry) observeEnds(n int, now time.Time) {
+	if e.sumEnds == 0 {
+		e.sumBusy, e.sumEnds = float64(e.serviceTime), 1
+	} else {
+		kept := math.Pow(longRunMemory, float64(n)) * math.Exp2(-float64(now.Sub(e.endedAt))/float64(longRunHalfLife))
+		e.sumBusy = kept*e.sumBusy + float64(e.busy)
+		e.sumEnds = kept*e.sumEnds + float64(n)
+	}
+	e.serviceTime = time.Duration(e.sumBusy / e.sumEnds)
+	e.busy, e.endedAt = 0, now
+}
+
+// expectedRun returns the service time, or a longer one if requests should have ended by now.
+func (e *boardEntry) expectedRun(now time.Time) time.Duration {
+	if !e.long {
+		return e.serviceTime
+	}
+	if e.addBusy(now); e.busy >= overdueFactor*e.serviceTime {
+		return e.busy
+	}
+	return e.serviceTime
+}
+
 // Left forgets the calls in flight from a host.
 func (b *Board) Left(host string) {
 	for _, e := range b.servers {
@@ -153,7 +197,7 @@
 		e.told, e.toldAt = l, now
 	}
 	for _, e := range b.servers {
-		again = again || e.told.Waiting > 0 || e.told.InFlight >= e.slots && e.slots > 0
+		again = again || e.told.Waiting > 0 || len(e.calls) > 0 && e.long
 	}
 	return changes, again
 }
@@ -161,7 +205,7 @@
 // idle reports whether a server can be forgotten.
 func (e *boardEntry) idle(now time.Time) bool {
 	unseen := now.Sub(e.observedAt)
-	return unseen > boardForget && len(e.calls) == 0 && e.told.Waiting == 0 && (e.told.ServiceTime < LongRun || unseen > longRunForget)
+	return unseen > boardForget && len(e.calls) == 0 && e.told.Waiting == 0 && (!e.long || unseen > longRunForget)
 }
 
 // Loaded returns what a host that has heard nothing has to be told: the servers with queues,
@@ -169,7 +213,7 @@
 func (b *Board) Loaded() []ServerLoad {
 	var loaded []ServerLoad
 	for _, e := range b.servers {
-		if e.told.Waiting > 0 || e.told.ServiceTime >= LongRun {
+		if e.told.Waiting > 0 || e.long && !e.toldAt.IsZero() {
 			loaded = append(loaded, e.told)
 		}
 	}
@@ -185,8 +229,8 @@
 
 // change returns the load of a server, and whether it has to be told.
 func (e *boardEntry) change(now time.Time) (ServerLoad, bool) {
-	l := ServerLoad{Server: e.told.Server, Waiting: e.waiting(now), ServiceTime: e.serviceTime}
-	if e.serviceTime >= LongRun {
+	l := ServerLoad{Server: e.told.Server, Waiting: e.waiting(now), ServiceTime: e.expectedRun(now)}
+	if e.long {
 		l.InFlight = e.inFlight(now)
 	}
 	switch full := max(l.InFlight, e.told.InFlight) >= e.slots && e.slots > 0; {
--- a/replica/longrun_test.go
+++ b/replica/longrun_test.go
@@ -40,7 +40,6 @@
 
 type longRequest struct {
 	host, server int
-	queueAtStart int
 	came         time.Time
 }
 
@@ -92,7 +91,6 @@
 	} else if r.server = set.Probe(p.now, 0, 8*time.Second*choosers/6); r.server == replica.None {
 		r.server = set.Pick(p.now, 0, 0)
 	}
-	r.queueAtStart = set.QueueAtStart(r.server, p.now)
 	set.Acquire(r.server, p.now)
 	p.report(r, 0, 0)
 	p.queues[r.server] = append(p.queues[r.server], r)
@@ -127,7 +125,7 @@
 	p.running[i]--
 	p.serve(i)
 	set.Leaves[i].Slots.Release()
-	sample := set.ReportRun(i, len(p.queues[i]), r.queueAtStart, took, p.now)
+	sample := set.ReportQueue(i, len(p.queues[i]), took, p.now)
 	set.Answered(i, took, p.now)
 	p.report(r, len(p.queues[i]), sample)
 }
@@ -194,6 +192,12 @@
 				}
 				p.run(5 * time.Second)
 				median[1], p99[which][1] = p.run(60 * time.Second)
+				if !all && perSecond == 40 {
+					for _, l := range p.board.Loaded() {
+						i := int(l.Server[0] - 'a')
+						t.Logf("server %d true %.0f told %v n %d true n %d", i, p.slow[i]*p.speed[i]*220, l.ServiceTime, l.InFlight, p.running[i]+len(p.queues[i]))
+					}
+				}
 				t.Logf("%v/s all %v: p50 %v p99 %v; slow: p50 %v p99 %v", perSecond, all, median[0], p99[which][0], median[1], p99[which][1])
 			}
 		}
--- a/replica/set.go
+++ b/replica/set.go
@@ -216,7 +216,7 @@
 // each draws with a chance that grows with the time since it last did: the first requests of all hosts
 // would be probes otherwise, and a large part of the few that each sends.
 func (s *Set) drawProbe(leaf *Leaf, now time.Time, every time.Duration) bool {
-	if !leaf.toldLong() {
+	if !s.toldLong(leaf) {
 		return true
 	}
 	since := now.Sub(leaf.probeDrawnAt)
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -56,28 +56,13 @@
 // and returns the estimated run time of that request without queueing. With an elapsed of 0
 // only the queue length is recorded.
 func (s *Set) ReportQueue(i, waiting int, elapsed time.Duration, now time.Time) time.Duration {
-	return s.ReportRun(i, waiting, 0, elapsed, now)
-}
-
-// QueueAtStart returns the queue that a request finds that starts now at a leaf with long run times,
-// according to what all hosts were told; 0 if nothing was told.
-func (s *Set) QueueAtStart(i int, now time.Time) int {
-	if leaf := s.Leaves[i]; leaf.toldLong() {
-		return leaf.toldWaiting(now)
-	}
-	return 0
-}
-
-// ReportRun is ReportQueue for a request that found a known queue. Where requests run long, the queue
-// at the end tells little about it.
-func (s *Set) ReportRun(i, waiting, queueAtStart int, elapsed time.Duration, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	leaf.noteQueue(waiting, now)
 	if elapsed <= 0 {
 		return 0
 	}
 	parallel := max(leaf.Concurrency, 1)
-	sample := elapsed * time.Duration(parallel) / time.Duration(parallel+max(waiting, queueAtStart))
+	sample := elapsed * time.Duration(parallel) / time.Duration(parallel+waiting)
 	nominal := time.Duration(float64(sample) / leaf.expectedSlowdown(now))
 	if leaf.serviceTime == 0 {
 		leaf.serviceTime = nominal
@@ -106,7 +91,7 @@
 	leaf.toldQueue, leaf.toldAt = queue, now
 	if l.ServiceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.queueReportedAt) > ownQueueTTL) {
 		leaf.serviceTime = l.ServiceTime
-		if l.ServiceTime >= LongRun || leaf.latency >= LongRun {
+		if s.LongRuns() {
 			leaf.latency, leaf.abandoned = l.ServiceTime, 0 // The own average is of few calls, long ago.
 		}
 	}
@@ -124,7 +109,7 @@
 func (s *Set) spread(i int, now time.Time) time.Duration {
 	leaf := s.Leaves[i]
 	varied := s.ToldWait(i, now)
-	if leaf.toldLong() {
+	if s.toldLong(leaf) {
 		varied += leaf.serviceTime
 	}
 	if varied == 0 {
@@ -133,8 +118,20 @@
 	return time.Duration(toldSpread * (2*s.rng.Float64() - 1) * float64(varied))
 }
 
-// toldLong reports whether all hosts were told of the leaf, and requests run long there.
-func (l *Leaf) toldLong() bool { return !l.toldAt.IsZero() && l.serviceTime >= LongRun }
+// LongRuns reports whether requests run long at all leaves of which a service time is known.
+func (s *Set) LongRuns() bool {
+	known := false
+	for _, leaf := range s.Leaves {
+		if leaf.serviceTime > 0 && leaf.serviceTime < LongRun {
+			return false
+		}
+		known = known || leaf.serviceTime > 0
+	}
+	return known
+}
+
+// toldLong reports whether all hosts were told of a leaf, and requests run long there and at the others.
+func (s *Set) toldLong(leaf *Leaf) bool { return !leaf.toldAt.IsZero() && s.LongRuns() }
 
 // toldWaiting returns the told queue length while it holds.
 func (l *Leaf) toldWaiting(now time.Time) int {
