--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -157,9 +157,9 @@
 // muchSlower reports whether another server that is not forbidden is expected to answer much sooner
 // than server i.
 func (g *group) muchSlower(i int, forbidden uint64, now time.Time) bool {
-	own := g.set.Expected(i, now)
+	own := g.set.Expected(i, now) + g.set.ToldWait(i, now)
 	for j := range g.members {
-		if j != i && forbidden&(1<<j) == 0 && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)))+slowerMargin {
+		if j != i && forbidden&(1<<j) == 0 && own > time.Duration(slowerFactor*float64(g.set.Expected(j, now)+g.set.ToldWait(j, now)))+slowerMargin {
 			return true
 		}
 	}
@@ -221,10 +221,6 @@
 type serverChange struct {
 	// runTime is how long the request ran at the server; 0 is unknown.
 	runTime time.Duration
-	// serviceTime is the smoothed run time of requests at the server; 0 is unknown. inFlight is the
-	// number of calls of this host in flight there.
-	serviceTime time.Duration
-	inFlight    int
 	// ejected reports that the server was ejected after failures, absent that nothing listens at
 	// its address any more, returned that an absent server answered again.
 	ejected, absent, returned bool
@@ -250,7 +246,6 @@
 	}
 	if e.load.Known {
 		change.runTime = g.set.ReportQueue(i, e.load.Waiting, e.atServer, now)
-		change.serviceTime, change.inFlight = g.set.ServiceTime(i), leaf.Slots.InUse()
 	}
 	if e.absent {
 		g.set.MarkAbsent(i, now)
@@ -270,6 +265,18 @@
 	return change
 }
 
+// state returns the smoothed run time of requests at the server (0 is unknown), the number of calls of
+// this host in flight there, and whether requests run long at all servers of the group.
+func (c *call) state() (serviceTime time.Duration, inFlight int, long bool) {
+	g := c.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := g.indexOf(c.backend.leaf); i != replica.None {
+		serviceTime = g.set.ServiceTime(i)
+	}
+	return serviceTime, c.backend.leaf.Slots.InUse(), g.set.LongRuns()
+}
+
 // abandon releases the slot of a call that was not made.
 func (c *call) abandon() {
 	c.group.mu.Lock()
--- a/replica/wait.go
+++ b/replica/wait.go
@@ -24,6 +24,14 @@
 	// serviceTimeWeight is the weight of a new sample in the moving average of the service
 	// time.
 	serviceTimeWeight = 0.1
+	// ownQueueTTL is how long a queue length that this host observed goes before the one that all
+	// hosts were told. It covers the way of the observation to all hosts.
+	ownQueueTTL = 150 * time.Millisecond
+	// ToldTTL is how long a told queue length holds. Board repeats it more often.
+	ToldTTL = time.Second
+	// toldSpread is the part of a told wait, and of a long run time, by which hosts vary it. All hosts
+	// are told at once, and without it all would leave a server, or choose the fastest one, together.
+	toldSpread = 0.5
 	// slowdownHalfLife is the half-life of a reported slowdown. It is short because other
 	// processes on the machine start and stop several times a second.
 	slowdownHalfLife = 200 * time.Millisecond
@@ -74,6 +82,65 @@
 	}
 }
 
+// ApplyTold records the load of a leaf that all hosts were told. What this host observed a moment ago
+// goes first. It returns whether the leaf is loaded and was not before.
+func (s *Set) ApplyTold(i int, l ServerLoad, now time.Time) (newlyLoaded bool) {
+	leaf := s.Leaves[i]
+	queue := max(l.Waiting, l.InFlight-max(leaf.Concurrency, 1)+1)
+	newlyLoaded = queue > 0 && leaf.toldWaiting(now) == 0
+	leaf.toldQueue, leaf.toldAt = queue, now
+	if l.ServiceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.queueReportedAt) > ownQueueTTL) {
+		leaf.serviceTime = l.ServiceTime
+		if s.LongRuns() {
+			leaf.latency, leaf.abandoned = l.ServiceTime, 0 // The own average is of few calls, long ago.
+		}
+	}
+	return newlyLoaded
+}
+
+// ToldWait returns the wait at a leaf that follows from what all hosts were told; 0 if they were told
+// nothing.
+func (s *Set) ToldWait(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	return leaf.queueWait(float64(leaf.toldWaiting(now)))
+}
+
+// spread returns the random part of the cost of a leaf that follows from what all hosts were told.
+func (s *Set) spread(i int, now time.Time) time.Duration {
+	leaf := s.Leaves[i]
+	varied := s.ToldWait(i, now)
+	if s.toldLong(leaf) {
+		varied += leaf.serviceTime
+	}
+	if varied == 0 {
+		return 0
+	}
+	return time.Duration(toldSpread * (2*s.rng.Float64() - 1) * float64(varied))
+}
+
+// LongRuns reports whether requests run long at all leaves of which a service time is known.
+func (s *Set) LongRuns() bool {
+	known := false
+	for _, leaf := range s.Leaves {
+		if leaf.serviceTime > 0 && leaf.serviceTime < LongRun {
+			return false
+		}
+		known = known || leaf.serviceTime > 0
+	}
+	return known
+}
+
+// toldLong reports whether all hosts were told of a leaf, and requests run long there and at the others.
+func (s *Set) toldLong(leaf *Leaf) bool { return !leaf.toldAt.IsZero() && s.LongRuns() }
+
+// toldWaiting returns the told queue length while it holds.
+func (l *Leaf) toldWaiting(now time.Time) int {
+	if l.toldAt.IsZero() || now.Sub(l.toldAt) > ToldTTL {
+		return 0
+	}
+	return l.toldQueue
+}
+
 // ServiceTime returns the smoothed run time of a request at a leaf without queueing, as ApplyLoad
 // takes it; 0 is unknown.
 func (s *Set) ServiceTime(i int) time.Duration { return s.Leaves[i].serviceTime }
@@ -124,8 +191,12 @@
 	return run
 }
 
-// reportedQueue returns the queue length that the leaf last reported, decayed by its age.
+// reportedQueue returns the queue length that the leaf last reported, decayed by its age, or what all
+// hosts were told if that is known better.
 func (l *Leaf) reportedQueue(now time.Time) float64 {
+	if told := l.toldWaiting(now); now.Sub(l.queueReportedAt) > ownQueueTTL && (told > 0 || l.toldAt.After(l.queueReportedAt)) {
+		return float64(told)
+	}
 	if l.queueLen == 0 {
 		return 0
 	}
