Hosts stay with their coordinator while its stream is alive

Callers saw: in a burst of four times the callers on crfa's site, verdicts of three coordinators that each heard a part of the hosts; the refused share jumped between 0 and 1. Cause: a host left its coordinator whenever a query through that host had been slow (278 connections of 122 hosts in 58 s).

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// moveDelay is for how long a better coordinator must be suitable before hosts move to it. It
+	// keeps hosts together while some of them suspect a candidate for moments.
+	moveDelay = time.Second
 	// pollInterval is the interval at which a host checks whether there is a better coordinator, or
 	// whether the configuration needs one.
 	pollInterval = 500 * time.Millisecond
@@ -167,6 +170,17 @@
 	return !c.config.Suspected(h.Address)
 }
 
+// outranks reports whether a candidate is preferred to the current coordinator. That other calls
+// to the coordinator were slow is no reason to leave it: the stream shows whether it responds.
+func (c *Coordination) outranks(candidate, current Host) bool {
+	for _, h := range Order(c.config.State().Candidates) {
+		if h == candidate || h == current {
+			return h == candidate && candidate != current
+		}
+	}
+	return false
+}
+
 func (c *Coordination) isSelf(h Host) bool { return h.Name == c.config.Host }
 
 // connect connects to a coordinator and returns when the stream has ended.
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -97,6 +97,19 @@
 	})
 }
 
+// Hosts that suspect their coordinator because other calls to it were slow must not leave it while
+// its stream is alive: the fleet would be divided among several coordinators.
+func TestSuspicionDoesNotDivideTheHosts(t *testing.T) {
+	withFleet(t, 4, func(f *fleet) {
+		f.mu.Lock()
+		f.suspected[f.state.Candidates[0].Address] = true
+		f.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.Equal(t, f.at(0).ledger.connected(), 4)
+		assert.Equal(t, f.at(1).ledger.connected(), 0)
+	})
+}
+
 // A host that does not know the method yet is skipped, without keeping queries from it.
 func TestOldVersionIsSkipped(t *testing.T) {
 	withFleet(t, 3, func(f *fleet) {
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -39,6 +39,10 @@
 	written  chan struct{}
 	// writing is set while a report is being written; due, if there is news to report.
 	writing, due bool
+	// better is the candidate that has been preferred to the target without interruption since
+	// betterSince.
+	better      Host
+	betterSince time.Time
 	// probed receives the result of the probe of a better candidate; probing is set until then.
 	probed  chan probeResult
 	probing bool
@@ -207,7 +211,13 @@
 	switch {
 	case !enabled:
 		return errDisabled
-	case target == s.target || target.Name == "" || s.probing:
+	case target.Name == "" || s.probing || !s.c.outranks(target, s.target):
+		s.better = Host{}
+		return nil
+	case target != s.better:
+		s.better, s.betterSince = target, now
+		return nil
+	case now.Sub(s.betterSince) < moveDelay:
 		return nil
 	case s.c.isSelf(target):
 		return errMoved
