A shared gate takes no admitted work for no known capacity

Cause: where no work was reported between two observations of a long wait, the estimated capacity was 0. Everything was refused, for as long as the wait stayed above a quarter of its target and 5 s more, as 0 does not grow.

Change: the capacity is known only once some work was admitted.

Result: TestWaitWithoutReportedWorkIsNoCapacity fails before (refused share 1 after a second without any wait) and passes after; go test ./admission passes.

--- a/admission/sharedgate.go
+++ b/admission/sharedgate.go
@@ -269,9 +269,10 @@
 // perSecond returns the capacity in seconds of server time a second.
 func (c *capacityEstimate) perSecond() float64 { return c.work.value / c.span.value }
 
-// known reports whether the servers have been busy recently.
+// known reports whether the servers have been busy recently. While no work was admitted, what kept
+// them busy tells nothing about their capacity.
 func (c *capacityEstimate) known(now time.Time) bool {
-	return c.span.value > 0 && now.Sub(c.span.at) <= rankExpiry
+	return c.work.value > 0 && c.span.value > 0 && now.Sub(c.span.at) <= rankExpiry
 }
 
 // admissible returns the work per second to admit, which is infinite while the capacity is not
