A shared gate uses idle servers again within a second

Cause: while the servers are busy with other work, or do not work at all, a shared gate admits less and less and learns a capacity close to 0, which grows back by its time constant of 200 ms only: after 10 s of such a wait everything was refused for 5 s more, on idle servers.

Change: while the wait is at most its target, the capacity is at least the floor share of the offered work.

--- a/admission/sharedgate.go
+++ b/admission/sharedgate.go
@@ -172,6 +172,9 @@
 // answer.
 func (s *SharedGate) ObserveWait(wait time.Duration, now time.Time) {
 	s.capacity.observe(min(max(wait, 0), maxVerdictTime), s.target(), s.verdict.RefusedShare > 0, now)
+	if wait <= s.target() {
+		s.capacity.atLeast(floorShare * s.total(now))
+	}
 }
 
 // target returns the wait to aim for.
@@ -189,10 +192,7 @@
 	if now.Sub(s.capacity.lastAt) > MaxVerdictAge {
 		return Verdict{}, false
 	}
-	total := 0.0
-	for _, r := range s.ranks {
-		total += r.total(now)
-	}
+	total := s.total(now)
 	admissible := s.capacity.admissible(s.target(), now)
 	if admissible >= total {
 		return s.verdict, true
@@ -206,6 +206,15 @@
 	return s.verdict, true
 }
 
+// total returns the offered work of all ranks, in seconds of server time a second.
+func (s *SharedGate) total(now time.Time) float64 {
+	sum := 0.0
+	for _, r := range s.ranks {
+		sum += r.total(now)
+	}
+	return sum
+}
+
 // Promised returns the work of refused callers, in seconds of server time, who are expected to
 // return.
 func (s *SharedGate) Promised(now time.Time) float64 {
@@ -266,6 +275,12 @@
 	c.admitted, c.lastWait, c.lastAt = 0, wait, now
 }
 
+// atLeast raises the capacity to a minimum, in seconds of server time a second. A capacity close
+// to 0, learnt while other work or a failure kept the servers busy, would grow back too slowly.
+func (c *capacityEstimate) atLeast(perSecond float64) {
+	c.work.value = max(c.work.value, perSecond*c.span.value)
+}
+
 // perSecond returns the capacity in seconds of server time a second.
 func (c *capacityEstimate) perSecond() float64 { return c.work.value / c.span.value }
 
