A gate is overloaded by a verdict only while that decides

Cause: Gate.Overloaded used the last verdict whatever its age, until the next request was offered; after one out of range it reported no overload at all.

Change: it takes the time and looks at the age of the verdict, as Offer does.

Result: TestGateDecidesAloneWithoutAValidVerdict asks for it before the next offer; go test ./admission ./internal/gateway passes.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -86,10 +86,9 @@
 	lastWait     float64
 	lastAt       time.Time
 	meanInterval time.Duration
-	// verdict is the last valid verdict, received at verdictAt; shared is set while it decides.
+	// verdict is the last valid verdict, received at verdictAt; zero if a later one was out of range.
 	verdict   Verdict
 	verdictAt time.Time
-	shared    bool
 	// overloadStart is when the current overload began, lastRefusal when a request was
 	// last refused.
 	overloadStart, lastRefusal time.Time
@@ -162,7 +161,6 @@
 	g.updateShare(request.Wait, now)
 	decision := Decision{Probability: g.admitProbability(index), Offered: g.ranks[index].offered(request)}
 	class, shared := g.sharedVerdict(request, now)
-	g.shared = shared
 	if shared {
 		decision.Shared, decision.VerdictAge, decision.Probability = true, now.Sub(g.verdictAt), class.Probability
 	}
@@ -197,10 +195,15 @@
 	g.verdict, g.verdictAt = v, now
 }
 
+// hasVerdict reports whether there is a verdict that is recent.
+func (g *Gate) hasVerdict(now time.Time) bool {
+	return !g.verdictAt.IsZero() && now.Sub(g.verdictAt) <= MaxVerdictAge
+}
+
 // sharedVerdict returns the verdict on the class of a request, or false if there is none that is
 // recent.
 func (g *Gate) sharedVerdict(request Request, now time.Time) (ClassVerdict, bool) {
-	if g.verdictAt.IsZero() || now.Sub(g.verdictAt) > MaxVerdictAge {
+	if !g.hasVerdict(now) {
 		return ClassVerdict{}, false
 	}
 	return g.verdict.find(Class{Rank: request.Rank, Late: request.Late, Returning: request.Returning, Team: request.Team}), true
@@ -302,8 +305,8 @@
 
 // Overloaded reports whether the gate refuses so much that a hedge would only displace
 // another request.
-func (g *Gate) Overloaded() bool {
-	if g.shared {
+func (g *Gate) Overloaded(now time.Time) bool {
+	if g.hasVerdict(now) {
 		return g.verdict.RefusedShare > overloadThreshold
 	}
 	return g.refusedShare > overloadThreshold
--- a/admission/shared_test.go
+++ b/admission/shared_test.go
@@ -179,9 +179,9 @@
 	g.ApplyVerdict(verdict(0), now)
 	refused := offer(900 * time.Millisecond)
 	assert.Assert(t, !refused.Admitted && refused.Shared && refused.RetryAfter == time.Second && refused.VerdictAge == 900*time.Millisecond, "%+v", refused)
-	assert.Assert(t, g.Overloaded())
+	assert.Assert(t, g.Overloaded(now.Add(time.Second)) && !g.Overloaded(now.Add(1100*time.Millisecond)))
 	old := offer(1100 * time.Millisecond)
-	assert.Assert(t, old.Admitted && !old.Shared && !g.Overloaded(), "%+v", old)
+	assert.Assert(t, old.Admitted && !old.Shared && !g.Overloaded(now.Add(1100*time.Millisecond)), "%+v", old)
 	for _, p := range []float64{math.NaN(), -0.1, 1.1} {
 		g.ApplyVerdict(verdict(0), now)
 		g.ApplyVerdict(verdict(p), now)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -92,11 +92,11 @@
 }
 
 // overloaded reports whether requests are being refused for lack of capacity.
-func (q *query) overloaded() bool {
+func (q *query) overloaded(now time.Time) bool {
 	g := q.groups[0]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.gate.Overloaded()
+	return g.gate.Overloaded(now)
 }
 
 // recordCosts reports to the admission gate how much server time requests of this rank take.
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -19,7 +19,7 @@
 	hosts := float64(max(q.view.BudgetSharers, 1))
 	part := 1.0
 	// In an overload a hedge would only displace another request.
-	if kind == hedgeAttempt && q.overloaded() {
+	if kind == hedgeAttempt && q.overloaded(now) {
 		return false
 	}
 	if kind == hedgeAttempt {
