A panic over one message ends neither the coordinator nor the hosts

Cause: the goroutines that own the ledger and the session had no recovery. A message on which one panics would end the process; the hosts then send the same to the next candidate, and a verdict goes to all hosts at once.

Change: both skip such a message, log it and count mallowgap_faults_contained_total, as the control state does with entries.

Result: TestPanicsAreContained panics before and passes after; go test -race ./internal/coordination passes.

--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -220,6 +220,24 @@
 	})
 }
 
+// A message on which the coordinator or a host panics must not end the process: all hosts
+// would get the same one.
+func TestPanicsAreContained(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		l := f.at(0).ledger
+		for _, h := range f.hosts {
+			assert.Equal(t, h.Take(f.ctx, poison, testLimit, 0, false).Action, quota.Refuse)
+		}
+		l.mu.Lock()
+		l.metered, l.version = []string{poison}, 7
+		l.mu.Unlock()
+		time.Sleep(2 * heartbeatInterval)
+		l.allow(1)
+		assert.Equal(t, f.at(1).take().Action, quota.Admit)
+		assert.Equal(t, l.connected(), 3)
+	})
+}
+
 // A stream that breaks counts as the end of the process only if the peer's kernel closed it.
 func TestEndOfProcessIsTold(t *testing.T) {
 	assert.Assert(t, endedByPeer(context.Canceled), "drpc: connection closed")
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -80,15 +80,15 @@
 		select {
 		case f := <-s.posts:
 			now := time.Now()
-			s.catchUp(now)
-			f(now)
+			contain(s.log, "tick", func() { s.catchUp(now) })
+			contain(s.log, "report of a host", func() { f(now) })
 		case <-wakeup:
-			s.catchUp(time.Now())
+			contain(s.log, "tick", func() { s.catchUp(time.Now()) })
 		case <-ctx.Done():
 			s.dropAll(errStopping, time.Now())
 			return
 		}
-		s.push(time.Now())
+		contain(s.log, "verdict", func() { s.push(time.Now()) })
 	}
 }
 
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -117,7 +117,7 @@
 		select {
 		case m := <-s.received:
 			silence.Reset(silenceTimeout)
-			s.apply(m, time.Now())
+			contain(s.c.log, "message of the coordinator", func() { s.apply(m, time.Now()) })
 		case err := <-s.failed:
 			return err
 		case <-account.asked:
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -67,6 +67,9 @@
 	})
 }
 
+// poison is the name of a team that makes the fake meter and ledger panic.
+const poison = "poison"
+
 // testLimit is the limit of every team.
 var testLimit = quota.Limit{PerSecond: 10, Burst: 10}
 
@@ -217,6 +220,9 @@
 	return []quota.Count{{Team: "t", Requests: 3, Age: time.Second}}
 }
 func (m *fakeMeter) Heard(metered []string, replace bool, _ time.Time) {
+	if slices.Contains(metered, poison) {
+		panic("a fault of the host")
+	}
 	if replace {
 		m.metered.Store(&metered)
 	}
@@ -259,9 +265,12 @@
 	}
 }
 func (l *fakeLedger) Admitted(string, []quota.Count, time.Time) {}
-func (l *fakeLedger) Ask(string, quota.Ask, time.Time) quota.Grant {
+func (l *fakeLedger) Ask(_ string, ask quota.Ask, _ time.Time) quota.Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if ask.Team == poison {
+		panic("a fault of the coordinator")
+	}
 	if l.left == 0 {
 		return quota.Grant{RetryAfter: 1500 * time.Microsecond}
 	}
