A process that started by an earlier clock than the one before it is heard

Cause: a ledger ignored a join with a lower incarnation than that of the last process, also when that had ended. After a restart with a clock set back the host counted as ended for 10 s and then as absent, while it was connected: the fraction stayed below one for as long as the stream lasted.

Change: the incarnation of a process that has ended is not compared.

Result: TestProcessWithAnEarlierClockIsHeard fails before (fraction 0.5) and passes after; go test ./quota passes.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -103,7 +103,7 @@
 // nanoseconds; recent is what it admitted in the last window, without what it will yet report.
 func (l *Ledger) Join(host string, incarnation uint64, recent []Count, now time.Time) {
 	l.check(now)
-	if h := l.hosts[host]; h != nil && incarnation < h.incarnation {
+	if h := l.hosts[host]; h != nil && !h.ended && incarnation < h.incarnation {
 		return
 	}
 	if l.startedAt.IsZero() {
