A limit that is absent or out of range for a moment brings no second burst

Cause: a ledger dropped the bucket of a team whose limit was not usable, and gave it a full one when the limit came back: two configurations in a row let a window hold two bursts.

Change: the bucket stays until nothing was taken from it within a window; a team without a usable limit is answered as before.

Result: TestLimitThatComesBackBringsNoBurst fails before (10 granted, 0 allowed) and passes after; go test ./quota passes.

--- a/quota/config_test.go
+++ b/quota/config_test.go
@@ -9,6 +9,40 @@
 	"github.com/mallowgap/mallowgap/quota"
 )
 
+// A limit that is out of range or absent for a moment must not give the team another burst.
+func TestLimitThatComesBackBringsNoBurst(t *testing.T) {
+	for _, between := range []quota.Limit{{Invalid: true}, {}} {
+		limit, now := quota.Limit{PerSecond: 1, Burst: 10}, time.Unix(1e9, 0)
+		ledger := quota.NewLedger(bound)
+		configure := func(l quota.Limit) {
+			ledger.SetConfig(func(string) quota.Limit { return l }, 1, now)
+		}
+		ask := func() int {
+			now = now.Add(100 * time.Millisecond)
+			ledger.Heard("a", now)
+			return ledger.Ask("a", quota.Ask{Team: "t", Requests: 20}, now).Granted
+		}
+		configure(limit)
+		ledger.Join("a", 1, nil, now)
+		for range 200 {
+			now = now.Add(100 * time.Millisecond)
+			ledger.Heard("a", now)
+		}
+		assert.Equal(t, ask(), 10)
+		configure(between)
+		if between.Invalid {
+			assert.Equal(t, ask(), 0)
+		}
+		configure(limit)
+		assert.Equal(t, ask(), 0)
+		for range 10 {
+			now = now.Add(100 * time.Millisecond)
+			ledger.Heard("a", now)
+		}
+		assert.Equal(t, ask(), 1)
+	}
+}
+
 // A process whose clock is behind that of the one before it counts like any other, so that the
 // ledger grants the whole limit.
 func TestProcessWithAnEarlierClockIsHeard(t *testing.T) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -88,11 +88,11 @@
 	l.limits, l.known = limits, max(0, hosts)
 	for team, a := range l.teams {
 		a.refill(now)
-		a.limit = limits(team)
-		if !a.limit.Limited() || !a.limit.usable() {
-			l.drop(team)
-			continue
+		limit, ok := l.limit(team)
+		if !ok {
+			continue // The bucket stays until Sweep, in case that the limit comes back.
 		}
+		a.limit = limit
 		l.scale(a)
 		l.meter(team, a)
 	}
@@ -224,7 +224,8 @@
 	for team, a := range l.teams {
 		a.refill(now)
 		l.meter(team, a)
-		if a.level >= a.depth && l.metered[team] == nil && a.taken.sum(l.bound.Window, now) == 0 {
+		_, limited := l.limit(team)
+		if (!limited || a.level >= a.depth && l.metered[team] == nil) && a.taken.sum(l.bound.Window, now) == 0 {
 			l.drop(team)
 		}
 	}
@@ -233,16 +234,22 @@
 // Fraction returns the share of the known hosts that the ledger hears.
 func (l *Ledger) Fraction() float64 { return l.fraction }
 
+// limit returns the limit of a team, or false if it has no usable one.
+func (l *Ledger) limit(team string) (Limit, bool) {
+	limit := l.limits(team)
+	return limit, limit.Limited() && limit.usable()
+}
+
 // account returns the account of a team, up to date; nil if it has no usable limit.
 func (l *Ledger) account(team string, now time.Time) *account {
+	limit, ok := l.limit(team)
+	if !ok {
+		return nil
+	}
 	if a := l.teams[team]; a != nil {
 		a.refill(now)
 		return a
 	}
-	limit := l.limits(team)
-	if !limit.Limited() || !limit.usable() {
-		return nil
-	}
 	a := &account{limit: limit, bucket: bucket{at: now}}
 	l.scale(a)
 	a.level = l.idleLevel(a, now)
