The list of metered teams is not built for each message

Cause: the coordinator asks its ledger for the list after each message of a host; the ledger brought all metered buckets up to date and sorted their names each time.

Change: it sorts them once for a version, and looks for refilled buckets every 50 ms. Teams become metered at once, as before.

TestMeteredListIsBuiltOnceForAVersion fails before and passes after; go test ./quota passes.

--- a/quota/config_test.go
+++ b/quota/config_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,17 @@
 	}
 	assert.Equal(t, ledger.Fraction(), 1.0)
 }
+
+// The list of metered teams is asked for with each message of a host, and must not be rebuilt then.
+func TestMeteredListIsBuiltOnceForAVersion(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	ledger := quota.NewLedger(bound)
+	ledger.SetConfig(func(string) quota.Limit { return quota.Limit{PerSecond: 1, Burst: 10} }, 1, now)
+	ledger.Join("a", 1, nil, now)
+	for i := range 100 {
+		ledger.Ask("a", quota.Ask{Team: fmt.Sprint(i), Requests: 10}, now)
+	}
+	list, _ := ledger.Metered(now)
+	assert.Equal(t, len(list), 100)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { ledger.Metered(now) }), 0.0)
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -17,7 +17,7 @@
 	// endedTTL is for how long a host counts as heard whose process ended. By then it runs again
 	// or is no longer known.
 	endedTTL = 10 * time.Second
-	// checkInterval is the interval at which silent hosts are looked for.
+	// checkInterval is the interval at which silent hosts and refilled buckets are looked for.
 	checkInterval = 50 * time.Millisecond
 	// riseMemory is for how long a rise of the fraction matters to idle buckets.
 	riseMemory = time.Minute
@@ -34,6 +34,11 @@
 	// metered holds the metered teams among teams; version changes with it.
 	metered map[string]*account
 	version uint64
+	// list holds the names of metered, in order, as of listVersion; listedAt is when refilled
+	// buckets were looked for last.
+	list        []string
+	listVersion uint64
+	listedAt    time.Time
 
 	// fraction is the share of the known hosts that are heard.
 	fraction  float64
@@ -199,6 +204,7 @@
 }
 
 // Metered returns the teams for which hosts must ask, in order, and a version that changes with the list.
+// The list must not be changed. It is called for each message, so it looks for refilled buckets only at times.
 // Version 0 means that the ledger does not know yet: no list must be sent then, and hosts ask for
 // every team.
 func (l *Ledger) Metered(now time.Time) (teams []string, version uint64) {
@@ -206,11 +212,17 @@
 	if l.settledAt.IsZero() {
 		return nil, 0
 	}
-	for team, a := range l.metered {
-		a.refill(now)
-		l.meter(team, a)
+	if now.Sub(l.listedAt) >= checkInterval {
+		l.listedAt = now
+		for team, a := range l.metered {
+			a.refill(now)
+			l.meter(team, a)
+		}
+	}
+	if l.listVersion != l.version {
+		l.list, l.listVersion = slices.Sorted(maps.Keys(l.metered)), l.version
 	}
-	return slices.Sorted(maps.Keys(l.metered)), l.version
+	return l.list, l.version
 }
 
 // Sweep forgets hosts that are silent and teams that are idle.
