Services are escaped in the metrics of shared gates as the text format has it

Cause: the names were quoted as Go strings, whose escapes the text format does not have. Change: they are escaped like the names of teams. Result: TestServicesAreEscapedInMetrics fails before and passes after.

--- a/internal/gateway/sharedgate.go
+++ b/internal/gateway/sharedgate.go
@@ -146,7 +146,7 @@
 }
 
 func gateMetric(name, service string) string {
-	return fmt.Sprintf("mallowgap_shared_gate_%s{service=%q}", name, service)
+	return fmt.Sprintf(`mallowgap_shared_gate_%s{service="%s"}`, name, labelEscaper.Replace(service))
 }
 
 // verdictListener passes the coordinator's verdicts to the gates of this host. It implements
--- a/internal/gateway/sharedgate_test.go
+++ b/internal/gateway/sharedgate_test.go
@@ -103,3 +103,8 @@
 		assert.Equal(t, countOf(burst, bySharedGate), 0)
 	})
 }
+
+// The text format of metrics has fewer escapes than Go.
+func TestServicesAreEscapedInMetrics(t *testing.T) {
+	assert.Equal(t, gateMetric("refused_share", "a\t\"b"), "mallowgap_shared_gate_refused_share{service=\"a\t\\\"b\"}")
+}
