A request waits for its allowance no longer than until its own end

Cause: the wait of up to 100 ms for the coordinator did not look at the caller's timeout. A request with 50 ms was answered after 100 ms while the coordinator was cut off.

Change: the wait ends with the request, which the host then decides by its own fraction, as without an answer.

Result: TestWaitForTheAllowanceEndsWithTheRequest fails before (100 ms of 50 ms) and passes after.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -21,7 +21,9 @@
 		return Answer{}, true
 	}
 	patience := time.Duration(patienceShare * float64(max(q.request.Timeout, 0)))
-	ruling := q.gateway.coordination.Take(ctx, member.Name, member.Limit, patience, q.waited >= minRetryAfter)
+	waitCtx, cancel := context.WithDeadline(ctx, q.end)
+	defer cancel()
+	ruling := q.gateway.coordination.Take(waitCtx, member.Name, member.Limit, patience, q.waited >= minRetryAfter)
 	q.trace.quota = describeRuling(ruling, q.waited)
 	if ruling.Action == quota.Refuse {
 		reason := fmt.Sprintf("over the limit of team %s (%g requests/s, burst %g): refused by %s", member.Name, member.Limit.PerSecond, member.Limit.Burst, q.trace.quota)
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -150,6 +150,24 @@
 	})
 }
 
+// A request does not wait for its allowance beyond its own end.
+func TestWaitForTheAllowanceEndsWithTheRequest(t *testing.T) {
+	withQuotas(t, limitedConfig(), func(cl *cluster) {
+		cl.askAsRed(quotaHosts, 8*time.Second, 60)
+		lost := cl.coordinator()
+		cl.peers.cutOff(lost)
+		for _, h := range quotaHosts {
+			if h.name == lost.name {
+				continue
+			}
+			r := cl.requestWith("/one/", "Bearer red-secret")
+			r.Timeout = endMargin + 30*time.Millisecond
+			cl.hosts[h.name].Serve(cl.ctx, r)
+			assert.Assert(t, time.Since(r.Arrived) <= r.Timeout, "%s answered after %v of %v", h.name, time.Since(r.Arrived), r.Timeout)
+		}
+	})
+}
+
 // A request that no server ran does not count against the limit.
 func TestRequestThatWasNotRunIsGivenBack(t *testing.T) {
 	config := limitedConfig()
