--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -67,7 +67,10 @@
 // account is the bucket of one team.
 type account struct {
 	bucket
-	limit Limit
+	// limit is the last usable limit. unlimited is set while there is none: the bucket then stays, in
+	// case that the limit comes back.
+	limit     Limit
+	unlimited bool
 	// taken are the requests in the current window.
 	taken window
 	// below and above are the levels at which the team becomes metered and free.
@@ -93,12 +96,11 @@
 	l.limits, l.known = limits, max(0, hosts)
 	for team, a := range l.teams {
 		a.refill(now)
-		limit, ok := l.limit(team)
-		if !ok {
-			continue // The bucket stays until Sweep, in case that the limit comes back.
+		limit := limits(team)
+		if a.unlimited = !limit.Limited() || !limit.usable(); !a.unlimited {
+			a.limit = limit
+			l.scale(a)
 		}
-		a.limit = limit
-		l.scale(a)
 		l.meter(team, a)
 	}
 	l.recheck(now)
@@ -236,8 +238,7 @@
 	for team, a := range l.teams {
 		a.refill(now)
 		l.meter(team, a)
-		_, limited := l.limit(team)
-		if (!limited || a.level >= a.depth && l.metered[team] == nil) && a.taken.sum(l.bound.Window, now) == 0 {
+		if (a.unlimited || a.level >= a.depth && l.metered[team] == nil) && a.taken.sum(l.bound.Window, now) == 0 {
 			l.drop(team)
 		}
 	}
@@ -246,22 +247,19 @@
 // Fraction returns the share of the known hosts that the ledger hears.
 func (l *Ledger) Fraction() float64 { return l.fraction }
 
-// limit returns the limit of a team, or false if it has no usable one.
-func (l *Ledger) limit(team string) (Limit, bool) {
-	limit := l.limits(team)
-	return limit, limit.Limited() && limit.usable()
-}
-
 // account returns the account of a team, up to date; nil if it has no usable limit.
 func (l *Ledger) account(team string, now time.Time) *account {
-	limit, ok := l.limit(team)
-	if !ok {
-		return nil
-	}
 	if a := l.teams[team]; a != nil {
+		if a.unlimited {
+			return nil
+		}
 		a.refill(now)
 		return a
 	}
+	limit := l.limits(team)
+	if !limit.Limited() || !limit.usable() {
+		return nil
+	}
 	a := &account{limit: limit, bucket: bucket{at: now}}
 	l.scale(a)
 	a.level = l.idleLevel(a, now)
@@ -305,7 +303,7 @@
 
 // meter notes whether a team is metered.
 func (l *Ledger) meter(team string, a *account) {
-	known := l.bound.alwaysMetered(a.limit)
+	known := a.unlimited || l.bound.alwaysMetered(a.limit)
 	metered := l.metered[team] != nil
 	switch {
 	case known || metered && a.level >= a.above:
