--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -152,7 +152,7 @@
 TestRelayChecksTeamsUnderItsNewerConfiguration@internal/gateway/relay.go@s/allowed := g.allowsRelayed\(m, request\)/allowed := true/@a relay passes on what its configuration does not allow
 TestServersGetTheTeamInPlaceOfTheKey@internal/gateway/send.go@s/m.TeamsVersion = table.Version\(\)/_ = 0/@relays are not told that the key was checked
 TestRelayChecksTeamsUnderItsNewerConfiguration@internal/gateway/team.go@s/m.GetTeamsVersion\(\) >= table.Version\(\)/m.GetTeamsVersion() > 0/@a relay serves removed teams
-TestGateDecidesAloneWithoutAValidVerdict@admission/gate.go@s/ \|\| now.Sub\(g.verdictAt\) > MaxVerdictAge//@an old verdict decides
+TestGateDecidesAloneWithoutAValidVerdict@admission/gate.go@s/ && now.Sub\(g.verdictAt\) <= MaxVerdictAge//@an old verdict decides
 TestGateDecidesAloneWithoutAValidVerdict@admission/shared.go@s/!isShare\(c.Probability\) \|\| //@a verdict out of range decides
 TestTeamAtTenTimesItsLoadCostsTheOthersNothing@admission/allocate.go@s/min\(len\(teams\), maxListedTeams\)/0/@a team with far more work than the others is not held to its part
 TestOrderOfRefusal@admission/allocate.go@s/reservedShare\*available/available/@returns starve new requests in a lasting overload
