--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -301,3 +302,128 @@
 		assert.Equal(b, book.Standing(last), Barred)
 	}
 }
+
+// Two requests that lost the same server retry at the same moment and may crash the same next one.
+// The harmless one must not be barred for that trial and one coincidence, and the poison one must
+// be barred without another crash once the harmless one is served.
+func TestTrialSharedWithAnotherSuspectIsNoEvidence(t *testing.T) {
+	poison, popular := FingerprintOf(Content{Target: "/poison"}), FingerprintOf(Content{Target: "/popular"})
+	retried := Record{Servers: []string{"a", "b"}, Trials: []string{"b"}, Crashes: 2}
+	bookOfBoth := func() *Book {
+		b := NewBook("h1")
+		b.AddLocal(poison, retried, start)
+		b.ApplyRecord(popular, "h2", retried, start)
+		return b
+	}
+	b := bookOfBoth()
+	b.AddLocal(popular, crashRecord(true, "c"), start)
+	assert.Equal(t, b.Standing(popular), Suspect)
+	b.AddLocal(poison, crashRecord(true, "d", "e"), start)
+	assert.Equal(t, b.Standing(poison), Barred)
+	assert.Equal(t, b.Standing(popular), Suspect)
+
+	b = bookOfBoth()
+	b.AddLocal(poison, crashRecord(true, "d"), start)
+	assert.Equal(t, b.Standing(poison), Suspect)
+	b.TakeChanges()
+	b.Clear(popular, start)
+	assert.Equal(t, b.Standing(poison), Barred)
+	assert.Equal(t, len(b.TakeChanges()), 2, "the change of the other request is published too")
+
+	b = bookOfBoth()
+	b.AddLocal(poison, crashRecord(true, "d", "e"), start)
+	assert.Equal(t, b.Standing(poison), Barred, "two trials that no other suspect shared")
+
+	b = NewBook("h1")
+	for i := range maxUndecidedTrials {
+		assert.Assert(t, b.Standing(poison) != Barred)
+		b.AddLocal(poison, crashRecord(true, fmt.Sprint(i)), start)
+		b.AddLocal(FingerprintOf(Content{Target: fmt.Sprint("/other", i)}), crashRecord(true, fmt.Sprint(i)), start)
+	}
+	assert.Equal(t, b.Standing(poison), Barred, "others shared every trial")
+}
+
+// Several queries of a popular request may be on trial at servers that are lost together, as with a
+// failure domain. That is one coincidence, not two trials.
+func TestTrialsThatEndTogetherCountOnce(t *testing.T) {
+	f := FingerprintOf(Content{Target: "/x"})
+	b := NewBook("h1")
+	at := start
+	b.AddReport(f, crashRecord(false, "a"), at)
+	for _, server := range []string{"b", "c"} {
+		at = at.Add(trialQuietPeriod - 1)
+		b.AddReport(f, crashRecord(true, server), at)
+	}
+	assert.Equal(t, b.Standing(f), Suspect)
+	record := b.AddReport(f, crashRecord(true, "d"), at.Add(1))
+	assert.Equal(t, b.Standing(f), Barred)
+	assert.DeepEqual(t, record.Servers, []string{"a", "b", "c", "d"})
+	assert.DeepEqual(t, record.Trials, []string{"b", "d"})
+}
+
+// Two requests that ran on all the same crashed servers must not be told apart by chance. If both
+// are poison and always sent together, one of them must be barred nevertheless.
+func TestRequestsWithTheSameCrashesAreUndecided(t *testing.T) {
+	one, other := FingerprintOf(Content{Target: "/one"}), FingerprintOf(Content{Target: "/other"})
+	standings := func(b *Book) []Standing {
+		all := []Standing{b.Standing(one), b.Standing(other)}
+		slices.Sort(all)
+		return all
+	}
+	crashes := Record{Servers: []string{"a", "b", "c", "d"}, Trials: []string{"c", "d"}, Crashes: 4}
+	for _, served := range []Fingerprint{one, other} {
+		b := NewBook("h1")
+		b.AddLocal(one, crashes, start)
+		b.AddLocal(other, crashes, start)
+		assert.DeepEqual(t, standings(b), []Standing{Suspect, Suspect})
+		b.Clear(served, start)
+		assert.DeepEqual(t, standings(b), []Standing{Clear, Barred})
+	}
+	b := NewBook("h1")
+	for _, server := range strings.Split("a b c d", " ") {
+		assert.Assert(t, standings(b)[1] != Barred)
+		b.AddLocal(one, crashRecord(true, server), start)
+		b.AddLocal(other, crashRecord(true, server), start)
+	}
+	assert.DeepEqual(t, standings(b), []Standing{Suspect, Barred})
+}
+
+// Many concurrent queries see the same crash. The request with the most crashed servers is the
+// likeliest cause, not the one that saw a crash most often.
+func TestCrashSeenByManyQueriesCountsOnce(t *testing.T) {
+	poison, popular := FingerprintOf(Content{Target: "/poison"}), FingerprintOf(Content{Target: "/popular"})
+	b := NewBook("h1")
+	b.AddLocal(popular, Record{Servers: []string{"a", "b", "c"}, Trials: []string{"b", "c"}, Crashes: 9}, start)
+	b.ApplyRecord(poison, "h2", Record{Servers: []string{"b", "c", "d", "e"}, Trials: []string{"b", "c", "e"}, Crashes: 4}, start)
+	assert.Equal(t, b.Standing(poison), Barred)
+	assert.Equal(t, b.Standing(popular), Suspect)
+}
+
+// What a host has just seen served is not barred, whichever of its queries was served and whoever
+// reports crashes, and hosts that only see the later records know it too.
+func TestRecentlyServedRequestIsNotBarred(t *testing.T) {
+	f := FingerprintOf(Content{Target: "/x"})
+	crashes := crashRecord(true, "a", "b", "c")
+	b, restarted := NewBook("h1"), NewBook("h2")
+	assert.Assert(t, !b.NoteServed(f, start), "nothing is known against it")
+	reportedAt := start.Add(servedGrace - 2)
+	restarted.ApplyRecord(f, "h1", b.AddLocal(f, crashes, reportedAt), reportedAt)
+	assert.Equal(t, b.Standing(f), Suspect)
+	assert.Equal(t, restarted.Standing(f), Suspect)
+	restarted.ApplyRecord(f, "h1", b.AddLocal(f, crashes, start.Add(servedGrace-1)), start.Add(servedGrace-1))
+	b.RemoveExpired(start.Add(servedGrace))
+	assert.Equal(t, b.Standing(f), Barred)
+	restarted.RemoveExpired(reportedAt.Add(servedGrace))
+	assert.Equal(t, restarted.Standing(f), Barred, "later records do not extend the grace period")
+	assert.Assert(t, b.NoteServed(f, start.Add(servedGrace)), "it must be cleared")
+
+	other := NewBook("h3")
+	other.NoteServed(f, start)
+	other.ApplyRecord(f, "h1", crashes, start)
+	assert.Equal(t, other.Standing(f), Suspect)
+
+	for i := range 3 * maxServed {
+		other.NoteServed(FingerprintOf(Content{Target: fmt.Sprint(i)}), start)
+	}
+	assert.Assert(t, len(other.served.current)+len(other.served.previous) <= 2*maxServed)
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// SilenceLimit is the silence after which a host or a ledger counts as cut off.
+	// SilenceLimit is the silence after which a host takes its ledger for lost.
 	SilenceLimit = 1200 * time.Millisecond
+	// hostSilenceLimit is the silence after which a ledger no longer counts a host. It is shorter by a
+	// heartbeat, so that a ledger has stopped granting a host's fraction when the host turns elsewhere.
+	hostSilenceLimit = 800 * time.Millisecond
 	// settleTime is how long a new ledger waits for the reports of hosts.
 	settleTime = 500 * time.Millisecond
 	// absentShare is the share of the hosts (besides one) for which a new ledger does not wait.
@@ -19,6 +22,10 @@
 	endedTTL = 10 * time.Second
 	// checkInterval is the interval at which silent hosts and refilled buckets are looked for.
 	checkInterval = 50 * time.Millisecond
+	// pausedTime is the time without a call after which the ledger was paused itself; hosts then have
+	// resumeTime to be heard.
+	pausedTime = 200 * time.Millisecond
+	resumeTime = 100 * time.Millisecond
 	// riseMemory is for how long a rise of the fraction matters to idle buckets.
 	riseMemory = time.Minute
 )
@@ -134,13 +141,15 @@
 	if h == nil || h.ended {
 		return
 	}
-	silent := now.Sub(h.at) > SilenceLimit
-	h.at = now
-	if silent || l.startedAt.IsZero() {
-		l.recheck(now)
+	if now.Sub(h.at) <= hostSilenceLimit && !l.startedAt.IsZero() {
+		h.at = now
+		l.check(now)
 		return
 	}
-	l.check(now)
+	// Whether the others were silent too has to be seen first.
+	l.recheck(now)
+	h.at = now
+	l.recheck(now)
 }
 
 // Left records that the stream of a host ended. ended is set if its process has ended: it then
@@ -347,13 +356,16 @@
 
 // recheck counts the hosts that are heard, and settles a new ledger.
 func (l *Ledger) recheck(now time.Time) {
+	if now.Sub(l.checkedAt) > pausedTime {
+		l.resume(now)
+	}
 	l.checkedAt = now
 	heard, ended, complete := 0, 0, 0
 	for _, h := range l.hosts {
 		switch {
 		case h.ended && now.Sub(h.at) <= endedTTL:
 			ended++
-		case !h.ended && now.Sub(h.at) <= SilenceLimit:
+		case !h.ended && now.Sub(h.at) <= hostSilenceLimit:
 			heard++
 			if h.complete {
 				complete++
@@ -375,6 +387,22 @@
 	}
 }
 
+// resume keeps counting, for a moment, the hosts that have not had the time to turn elsewhere.
+func (l *Ledger) resume(now time.Time) {
+	for _, h := range l.hosts {
+		if !h.ended && now.Sub(h.at) <= SilenceLimit {
+			h.at = later(h.at, now.Add(resumeTime-hostSilenceLimit))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // setFraction changes the size of all buckets.
 func (l *Ledger) setFraction(fraction float64, now time.Time) {
 	if fraction == l.fraction {
@@ -435,7 +463,7 @@
 	if l.missing > 0 {
 		unknown = atMost(l.missing * l.bound.allowed(a.limit))
 	}
-	return level - float64(len(a.places)) - max(0, unknown-l.bound.tolerance(a.limit))
+	return level - max(0, unknown-l.bound.tolerance(a.limit))
 }
 
 func clampCount(n int) int { return max(-maxCount, min(maxCount, n)) }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning (the expression does not match $file)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination ./quota -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -176,5 +176,14 @@
 TestHostsMoveWhenTheCoordinatorDies@internal/coordination/account.go@s/\tfor _, asked := range a.asks \{\n\t\ta.unsent = append\(a.unsent, asked\)\n\t\}\n//@asks are lost with the coordinator that they were sent to
 TestRequestThatWasNotRunIsGivenBack@internal/gateway/quota.go@s/a.Outcome == NotRun && member/false \&\& member/@requests that were not run count against the limit
 TestCoordinationIsNeededByLimitsOrSize@internal/gateway/coordinate.go@s/s.minHosts > 0 && v.HostCount >= s.minHosts/true/@hosts coordinate without need
+TestFractionsOfTwoLedgers@quota/bound.go@s/share := fraction \* /share := 1.0 * /@a ledger grants the fraction of hosts that it does not hear
+TestHotTeamStaysWithinTheBound@quota/ledger.go@s/l.settle\(1-float64\(complete\)\/float64\(known\), now\)/l.settle(0, now)/@a new ledger begins with full buckets though hosts have started anew
+TestLowerLimitBindsAtOnce|TestHotTeamStaysWithinTheBound@quota/bucket.go@s/min\(b.level\+float64\(n\), b.depth\)/b.level+float64(n)/@a bucket fills beyond its depth
+TestHotTeamStaysWithinTheBound@quota/ledger.go@s/case a.level < a.below:/case false:/@no team becomes metered
+TestHotTeamStaysWithinTheBound@quota/own.go@s/share := \(usable - limit.Burst\) \/ float64\(hosts\)/share := usable/@a host that is cut off uses the whole limit
+TestHotTeamStaysWithinTheBound@quota/own.go@s/ && !begin.Before\(epoch\)//@hosts that are cut off begin with a request each
+TestReservedAllowance@quota/bucket.go@s/!b.places\[0\].After\(now\) && .* >= 1 \{/true {/@a caller that comes early gets its reserved place
+TestReservedAllowance@quota/bucket.go@s/ && b.level\+rounding >= 1 \{/ {/@a place is granted though the allowance was used
+TestCallersThatDoNotReturnCostLittle@quota/bucket.go@s/placeTTL = 100 \* time.Millisecond/placeTTL = 100 * time.Second/@allowances of callers that do not return are lost
 LIST
 exit $survived
