--- a/internal/gateway/sharedgate.go
+++ b/internal/gateway/sharedgate.go
@@ -169,7 +169,7 @@
 }
 
 func gateMetric(name, service string) string {
-	return fmt.Sprintf("mallowgap_shared_gate_%s{service=%q}", name, service)
+	return fmt.Sprintf(`mallowgap_shared_gate_%s{service="%s"}`, name, labelEscaper.Replace(service))
 }
 
 // verdictListener passes what the coordinator tells to the groups of this host. It implements
--- a/internal/gateway/sharedgate_test.go
+++ b/internal/gateway/sharedgate_test.go
@@ -104,6 +104,11 @@
 	})
 }
 
+// The text format of metrics has fewer escapes than Go.
+func TestServicesAreEscapedInMetrics(t *testing.T) {
+	assert.Equal(t, gateMetric("refused_share", "a\t\"b"), "mallowgap_shared_gate_refused_share{service=\"a\t\\\"b\"}")
+}
+
 // loadedServers returns how many servers a host was told to be loaded.
 func (cl *cluster) loadedServers(host string) int {
 	n := 0
