--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -17,6 +17,11 @@
 	// pollInterval is the interval at which a host checks whether there is a better coordinator, or
 	// whether the configuration needs one.
 	pollInterval = 500 * time.Millisecond
+	// startInterval is that interval while the fleet is not known yet.
+	startInterval = 20 * time.Millisecond
+	// moveDelay is how long another coordinator must be preferred before a host leaves one that
+	// works: the ledger of a coordinator begins anew without its hosts.
+	moveDelay = 2 * time.Second
 	// minCooldown is how long a host is not chosen as coordinator after its stream ended. It
 	// doubles with each failure in a row up to maxCooldown.
 	minCooldown = time.Second
@@ -132,7 +137,11 @@
 
 // idle waits until it is time to look for a coordinator again.
 func (c *Coordination) idle(ctx context.Context) {
-	timer := time.NewTimer(pollInterval)
+	interval := pollInterval
+	if c.config.State().Hosts == 0 {
+		interval = startInterval
+	}
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -46,8 +46,11 @@
 	stopping bool
 	links    map[string]*link
 
-	lastTick time.Time
-	hosts    int
+	lastTick  time.Time
+	hosts     int
+	revisions map[string]uint64
+	// ended holds the revisions of the hosts whose processes have ended, as they were then.
+	ended map[string]uint64
 	// loggedLinks is the number of links in the last log line about it.
 	loggedLinks int
 	metered     []string
@@ -62,7 +65,7 @@
 
 func newServer(config Config, log zerolog.Logger) *server {
 	return &server{
-		config: config, log: log, posts: make(chan func(time.Time)), stopped: make(chan struct{}), links: map[string]*link{},
+		config: config, log: log, posts: make(chan func(time.Time)), stopped: make(chan struct{}), links: map[string]*link{}, ended: map[string]uint64{},
 	}
 }
 
@@ -123,13 +126,14 @@
 func (s *server) tick(now time.Time) {
 	s.lastTick = now
 	state := s.config.State()
-	s.hosts = state.Hosts
+	s.hosts, s.revisions = state.Hosts, state.Revisions
 	s.config.Ledger.SetConfig(state.Limit, state.Hosts, now)
 	for _, l := range s.links {
 		if now.Sub(l.heard) >= silenceTimeout {
 			s.drop(l, errSilent, false, now)
 		}
 	}
+	s.forgetRestarted(now)
 	s.config.Ledger.Sweep(now)
 	loads := s.combinedLoads(now)
 	for _, l := range s.links {
@@ -138,6 +142,19 @@
 	s.logLinks()
 }
 
+// forgetRestarted tells the ledger of hosts whose processes had ended and that run again. They may be
+// connected to another coordinator.
+func (s *server) forgetRestarted(now time.Time) {
+	for host, revision := range s.ended {
+		if current, known := s.revisions[host]; !known || current != revision {
+			delete(s.ended, host)
+			if known {
+				s.config.Ledger.Left(host, false, now)
+			}
+		}
+	}
+}
+
 // logLinks logs a change of the number of connected hosts.
 func (s *server) logLinks() {
 	connectedHosts.Set(float64(len(s.links)))
@@ -213,6 +230,7 @@
 	}
 	l.heard = now
 	s.links[l.host] = l
+	delete(s.ended, l.host)
 	s.config.Ledger.Join(l.host, first.GetIncarnation(), countsFromWire(first.GetRecent()), now)
 	l.offer(&relaypb.CoordinateVerdict{Metered: s.metered, HasMetered: s.meteredVersion > 0, Gates: s.gates})
 	s.report(l, first, now)
@@ -273,6 +291,9 @@
 		return
 	}
 	delete(s.links, l.host)
+	if ended {
+		s.ended[l.host] = s.revisions[l.host]
+	}
 	s.config.Ledger.Left(l.host, ended, now)
 	s.config.Gates.Left(l.host, now)
 	s.log.Info().Str("peer", l.host).Err(err).Bool("ended", ended).Int("hosts", len(s.links)).Msg("host left the coordinator")
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -42,6 +42,9 @@
 	// probed receives the result of the probe of a better candidate; probing is set until then.
 	probed  chan probeResult
 	probing bool
+	// better is the candidate that is preferred to the target, and betterSince since when.
+	better      Host
+	betterSince time.Time
 }
 
 // probeResult tells whether a candidate is ready to coordinate.
@@ -207,7 +210,13 @@
 	switch {
 	case !enabled:
 		return errDisabled
-	case target == s.target || target.Name == "" || s.probing:
+	case target == s.target || target.Name == "":
+		s.better = Host{}
+		return nil
+	case target != s.better:
+		s.better, s.betterSince = target, now
+		return nil
+	case now.Sub(s.betterSince) < moveDelay || s.probing:
 		return nil
 	case s.c.isSelf(target):
 		return errMoved
