A broken stream does not prove that a host has ended

In a trial with real processes the connection of a running host was reset: the coordinator counted it as ended, and so as heard, while it was connected to another one, and a team exceeded its limit. Only a host that leaves counts as ended.

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -5,9 +5,11 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"storj.io/drpc"
 
 	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/peer"
@@ -212,7 +214,7 @@
 	case errors.Is(err, errSuspended):
 		c.config.Peers.CloseIdle(address)
 		return
-	case endedByPeer(err) && now.Sub(s.began) >= minCooldown:
+	case brokeOff(err) && now.Sub(s.began) >= minCooldown:
 		return // Only the connection may have ended. If the process has, the next attempt tells.
 	}
 	if !s.heard.IsZero() {
@@ -229,6 +231,13 @@
 	}
 }
 
+// brokeOff reports whether the error of a stream means that the connection was closed, which drpc
+// reports as context.Canceled, or reset, which it reports as a drpc.ClosedError. It may be that the
+// process at the other end has ended. A connection that timed out did not break off.
+func brokeOff(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err)
+}
+
 // coolDown keeps a host that failed from being chosen for a while.
 func (c *Coordination) coolDown(address string, err error, now time.Time) {
 	c.forgetCooldowns(now)
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"storj.io/drpc"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
@@ -195,10 +193,8 @@
 	for {
 		report, err := stream.Recv()
 		if err != nil {
-			s.post(func(now time.Time) {
-				silent := now.Sub(l.heard) >= silenceTimeout
-				s.drop(l, err, endedByPeer(err) && !silent, now)
-			})
+			// A connection that was reset or closed is no proof that the process has ended.
+			s.post(func(now time.Time) { s.drop(l, err, false, now) })
 			return
 		}
 		if !s.post(func(now time.Time) { s.report(l, report, now) }) {
@@ -207,14 +203,6 @@
 	}
 }
 
-// endedByPeer reports whether the error of a stream means that the process at the other end has
-// ended: its kernel closed the connection, which drpc reports as context.Canceled, or reset it,
-// which it reports as a drpc.ClosedError. A host that runs on closes the stream first, which
-// is io.EOF. A connection that timed out tells nothing about the process.
-func endedByPeer(err error) bool {
-	return errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err)
-}
-
 // join adds the stream of a host.
 func (s *server) join(l *link, first *relaypb.CoordinateReport, now time.Time) {
 	err := s.refusal()
