No end of a stream lets its host count as heard

In a trial a host that left and started anew was connected elsewhere, while a coordinator that was cut off from the store counted it for 10 s. The fraction of a host that left is granted again when its entry has been gone for a while.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -29,10 +29,6 @@
 	revision uint64
 }
 
-// Revision returns the store revision of the entry. It changes when another process of the host
-// announces itself.
-func (h Host) Revision() uint64 { return h.revision }
-
 // hostFromEntry converts a store entry.
 func hostFromEntry(h *relaypb.Host) Host {
 	return Host{Name: h.GetName(), Address: h.GetAddress(), Domain: h.GetDomain(), Region: h.GetRegion(), Strength: h.GetStrength(), SupportsPacking: h.GetPacks(), RelaysWhole: h.GetWhole()}
--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -22,9 +22,6 @@
 	Hosts int
 	// Rank is the rank (from 0) of this host among the known hosts, in an order that all share.
 	Rank int
-	// Revisions holds a number for each known host that changes when another process of it starts.
-	// It must not be modified.
-	Revisions map[string]uint64
 	// Limit returns the limit of a team, an invalid one if the team is not known.
 	Limit func(team string) quota.Limit
 }
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -44,11 +44,8 @@
 	stopping bool
 	links    map[string]*link
 
-	lastTick  time.Time
-	hosts     int
-	revisions map[string]uint64
-	// ended holds the revisions of the hosts whose processes have ended, as they were then.
-	ended map[string]uint64
+	lastTick time.Time
+	hosts    int
 	// loggedLinks is the number of links in the last log line about it.
 	loggedLinks int
 	metered     []string
@@ -63,7 +60,7 @@
 
 func newServer(config Config, log zerolog.Logger) *server {
 	return &server{
-		config: config, log: log, posts: make(chan func(time.Time)), stopped: make(chan struct{}), links: map[string]*link{}, ended: map[string]uint64{},
+		config: config, log: log, posts: make(chan func(time.Time)), stopped: make(chan struct{}), links: map[string]*link{},
 	}
 }
 
@@ -124,14 +121,13 @@
 func (s *server) tick(now time.Time) {
 	s.lastTick = now
 	state := s.config.State()
-	s.hosts, s.revisions = state.Hosts, state.Revisions
+	s.hosts = state.Hosts
 	s.config.Ledger.SetConfig(state.Limit, state.Hosts, now)
 	for _, l := range s.links {
 		if now.Sub(l.heard) >= silenceTimeout {
-			s.drop(l, errSilent, false, now)
+			s.drop(l, errSilent, now)
 		}
 	}
-	s.forgetRestarted(now)
 	s.config.Ledger.Sweep(now)
 	loads := s.combinedLoads(now)
 	for _, l := range s.links {
@@ -140,19 +136,6 @@
 	s.logLinks()
 }
 
-// forgetRestarted tells the ledger of hosts whose processes had ended and that run again. They may be
-// connected to another coordinator.
-func (s *server) forgetRestarted(now time.Time) {
-	for host, revision := range s.ended {
-		if current, known := s.revisions[host]; !known || current != revision {
-			delete(s.ended, host)
-			if known {
-				s.config.Ledger.Left(host, false, now)
-			}
-		}
-	}
-}
-
 // logLinks logs a change of the number of connected hosts.
 func (s *server) logLinks() {
 	connectedHosts.Set(float64(len(s.links)))
@@ -193,8 +176,7 @@
 	for {
 		report, err := stream.Recv()
 		if err != nil {
-			// A connection that was reset or closed is no proof that the process has ended.
-			s.post(func(now time.Time) { s.drop(l, err, false, now) })
+			s.post(func(now time.Time) { s.drop(l, err, now) })
 			return
 		}
 		if !s.post(func(now time.Time) { s.report(l, report, now) }) {
@@ -218,7 +200,6 @@
 	}
 	l.heard = now
 	s.links[l.host] = l
-	delete(s.ended, l.host)
 	s.config.Ledger.Join(l.host, first.GetIncarnation(), countsFromWire(first.GetRecent()), now)
 	l.offer(&relaypb.CoordinateVerdict{Metered: s.metered, HasMetered: s.meteredVersion > 0, Gates: s.gates})
 	s.report(l, first, now)
@@ -257,7 +238,7 @@
 		s.verdictsDue = true
 	}
 	if m.GetLeaving() {
-		s.drop(l, errLeft, true, now)
+		s.drop(l, errLeft, now)
 	}
 }
 
@@ -272,19 +253,17 @@
 	return grants
 }
 
-// drop removes the stream of a host. ended reports whether its process is known to have ended.
-func (s *server) drop(l *link, err error, ended bool, now time.Time) {
+// drop removes the stream of a host.
+func (s *server) drop(l *link, err error, now time.Time) {
 	l.close(err)
 	if s.links[l.host] != l {
 		return
 	}
 	delete(s.links, l.host)
-	if ended {
-		s.ended[l.host] = s.revisions[l.host]
-	}
-	s.config.Ledger.Left(l.host, ended, now)
+	// Its process may run on, or run again, as a host of another coordinator, also if it has left.
+	s.config.Ledger.Left(l.host, false, now)
 	s.config.Gates.Left(l.host, now)
-	s.log.Info().Str("peer", l.host).Err(err).Bool("ended", ended).Int("hosts", len(s.links)).Msg("host left the coordinator")
+	s.log.Info().Str("peer", l.host).Err(err).Int("hosts", len(s.links)).Msg("host left the coordinator")
 	if len(s.links) == 0 {
 		s.logLinks()
 	}
@@ -292,7 +271,7 @@
 
 func (s *server) dropAll(err error, now time.Time) {
 	for _, l := range s.links {
-		s.drop(l, err, false, now)
+		s.drop(l, err, now)
 	}
 }
 
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -55,11 +55,7 @@
 	// A host whose entry has disappeared may be cut off and still admit requests by its own fraction.
 	state := coordination.State{Hosts: v.BudgetSharers, Rank: rankOf(s.name, v), Limit: limitsOf(v)}
 	state.Enabled = v.HostCount > 0 && (v.Table != nil && v.Table.LimitsTeams() || s.minHosts > 0 && v.HostCount >= s.minHosts)
-	state.Revisions = make(map[string]uint64, v.HostCount)
-	for domain, hosts := range v.Hosts {
-		for _, h := range hosts {
-			state.Revisions[h.Name] = h.Revision()
-		}
+	for domain := range v.Hosts {
 		for _, h := range v.Relays(domain, coordinatorsPerDomain) {
 			state.Candidates = append(state.Candidates, coordination.Host{Name: h.Name, Address: h.Address, Domain: h.Domain})
 		}
