--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -102,6 +102,8 @@
 	if !limit.Limited() {
 		return Ruling{By: ByHost}
 	}
+	state := c.config.State()
+	c.account.setHosts(state.Hosts, state.Rank)
 	r := c.account.take(ctx, team, limit, patience, returning)
 	if r.Action == quota.Refuse && r.By == ByCoordinator {
 		refusedByCoordinator.Inc()
@@ -133,6 +135,10 @@
 func (a *account) take(ctx context.Context, team string, limit quota.Limit, patience time.Duration, returning bool) Ruling {
 	began := time.Now()
 	a.mu.Lock()
+	if a.hosts == 0 { // Its fraction of the limit is not known.
+		a.mu.Unlock()
+		return Ruling{Decision: quota.Decision{Action: quota.Refuse, RetryAfter: askTimeout}, By: ByFraction}
+	}
 	d := a.meter.Take(team, limit, began)
 	r := Ruling{Decision: d, By: ByHost, Coordinator: a.coordinator, Hosts: a.hosts}
 	if d.Action != quota.AskFirst {
--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -5,21 +5,25 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"storj.io/drpc"
 
 	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/peer"
 )
 
 const (
-	// moveDelay is for how long a better coordinator must be suitable before hosts move to it. It
-	// keeps hosts together while some of them suspect a candidate for moments.
-	moveDelay = time.Second
 	// pollInterval is the interval at which a host checks whether there is a better coordinator, or
 	// whether the configuration needs one.
 	pollInterval = 500 * time.Millisecond
+	// startInterval is that interval while the fleet is not known yet.
+	startInterval = 20 * time.Millisecond
+	// moveDelay is how long another coordinator must be preferred before a host leaves one that
+	// works: the ledger of a coordinator begins anew without its hosts.
+	moveDelay = 2 * time.Second
 	// minCooldown is how long a host is not chosen as coordinator after its stream ended. It
 	// doubles with each failure in a row up to maxCooldown.
 	minCooldown = time.Second
@@ -135,7 +139,11 @@
 
 // idle waits until it is time to look for a coordinator again.
 func (c *Coordination) idle(ctx context.Context) {
-	timer := time.NewTimer(pollInterval)
+	interval := pollInterval
+	if c.config.State().Hosts == 0 {
+		interval = startInterval
+	}
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -217,7 +225,7 @@
 	case errors.Is(err, errSuspended):
 		c.config.Peers.CloseIdle(address)
 		return
-	case endedByPeer(err) && now.Sub(s.began) >= minCooldown:
+	case brokeOff(err) && now.Sub(s.began) >= minCooldown:
 		return // Only the connection may have ended. If the process has, the next attempt tells.
 	}
 	if !s.heard.IsZero() {
@@ -234,6 +242,13 @@
 	}
 }
 
+// brokeOff reports whether the error of a stream means that the connection was closed, which drpc
+// reports as context.Canceled, or reset, which it reports as a drpc.ClosedError. It may be that the
+// process at the other end has ended. A connection that timed out did not break off.
+func brokeOff(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err)
+}
+
 // coolDown keeps a host that failed from being chosen for a while.
 func (c *Coordination) coolDown(address string, err error, now time.Time) {
 	c.forgetCooldowns(now)
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"storj.io/drpc"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
@@ -135,7 +133,7 @@
 	s.config.Ledger.SetConfig(state.Limit, state.Hosts, now)
 	for _, l := range s.links {
 		if now.Sub(l.heard) >= silenceTimeout {
-			s.drop(l, errSilent, false, now)
+			s.drop(l, errSilent, now)
 		}
 	}
 	s.config.Ledger.Sweep(now)
@@ -185,10 +183,7 @@
 	for {
 		report, err := stream.Recv()
 		if err != nil {
-			s.post(func(now time.Time) {
-				silent := now.Sub(l.heard) >= silenceTimeout
-				s.drop(l, err, endedByPeer(err) && !silent, now)
-			})
+			s.post(func(now time.Time) { s.drop(l, err, now) })
 			return
 		}
 		if !s.post(func(now time.Time) { s.report(l, report, now) }) {
@@ -197,14 +192,6 @@
 	}
 }
 
-// endedByPeer reports whether the error of a stream means that the process at the other end has
-// ended: its kernel closed the connection, which drpc reports as context.Canceled, or reset it,
-// which it reports as a drpc.ClosedError. A host that runs on closes the stream first, which
-// is io.EOF. A connection that timed out tells nothing about the process.
-func endedByPeer(err error) bool {
-	return errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err)
-}
-
 // join adds the stream of a host.
 func (s *server) join(l *link, first *relaypb.CoordinateReport, now time.Time) {
 	err := s.refusal()
@@ -258,7 +245,7 @@
 		s.verdictsDue, s.loadsDue = true, true
 	}
 	if m.GetLeaving() {
-		s.drop(l, errLeft, true, now)
+		s.drop(l, errLeft, now)
 	}
 }
 
@@ -273,16 +260,17 @@
 	return grants
 }
 
-// drop removes the stream of a host. ended reports whether its process is known to have ended.
-func (s *server) drop(l *link, err error, ended bool, now time.Time) {
+// drop removes the stream of a host.
+func (s *server) drop(l *link, err error, now time.Time) {
 	l.close(err)
 	if s.links[l.host] != l {
 		return
 	}
 	delete(s.links, l.host)
-	s.config.Ledger.Left(l.host, ended, now)
+	// Its process may run on, or run again, as a host of another coordinator, also if it has left.
+	s.config.Ledger.Left(l.host, false, now)
 	s.config.Gates.Left(l.host, now)
-	s.log.Info().Str("peer", l.host).Err(err).Bool("ended", ended).Int("hosts", len(s.links)).Msg("host left the coordinator")
+	s.log.Info().Str("peer", l.host).Err(err).Int("hosts", len(s.links)).Msg("host left the coordinator")
 	if len(s.links) == 0 {
 		s.logLinks()
 	}
@@ -290,7 +278,7 @@
 
 func (s *server) dropAll(err error, now time.Time) {
 	for _, l := range s.links {
-		s.drop(l, err, false, now)
+		s.drop(l, err, now)
 	}
 }
 
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -211,13 +211,13 @@
 	switch {
 	case !enabled:
 		return errDisabled
-	case target.Name == "" || s.probing || !s.c.outranks(target, s.target):
+	case target.Name == "" || !s.c.outranks(target, s.target):
 		s.better = Host{}
 		return nil
 	case target != s.better:
 		s.better, s.betterSince = target, now
 		return nil
-	case now.Sub(s.betterSince) < moveDelay:
+	case now.Sub(s.betterSince) < moveDelay || s.probing:
 		return nil
 	case s.c.isSelf(target):
 		return errMoved
