--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -155,7 +155,9 @@
 	if refused, ok := q.admit(time.Now()); !ok {
 		return refused
 	}
-	return q.finish(q.run(ctx))
+	answer := q.finish(q.run(ctx))
+	q.reportEnd(answer, time.Now())
+	return answer
 }
 
 // newQuery returns the query that serves a request. A route without shards is served as a query
