Choose servers of long requests by what all hosts have in flight

Where 122 hosts send a few requests of 220 ms a minute each, none knows which servers are full or slow: it chooses by its own calls of minutes ago, and a large part of the few requests are its own probes of slow servers.

Hosts report starts as well as ends where requests run 0.1 s or more; the coordinator tells the calls in flight while a server has no free slot, and the run time as the time for which slots were busy divided by the requests that ended, so that waits do not count.

TestIdleHostsLearnStarts, TestBoardTellsLongRequests, TestLongRunTimeExcludesWaits.

--- a/internal/gateway/sharedgate_test.go
+++ b/internal/gateway/sharedgate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/mallowgap/mallowgap/internal/control/fakestore"
 )
@@ -137,3 +138,36 @@
 		})
 	}
 }
+
+// Where requests run long, a host without requests learns from the starts of others which server is full
+// before anything ends there, and requests that must not be repeated run once.
+func TestIdleHostsLearnStarts(t *testing.T) {
+	withManyHosts(t, manyHosts, func(cl *cluster, names []string) {
+		busy, idle := names[:manyHosts/2], names[manyHosts-1]
+		servers := serversOf([]string{"single"}, "a1", "a2", "b1")
+		for _, s := range servers {
+			b := newBusyServer(s.ID)
+			b.serviceTime = 300 * time.Millisecond
+			cl.backends.set(s.ID, b.serve)
+			cl.store.PutServer(s)
+		}
+		time.Sleep(2 * time.Second)
+		ask := func(n int, interval time.Duration) {
+			for i := range n {
+				r := cl.newRequest("/once/x")
+				go func() { assert.Check(t, is.Equal(cl.hosts[busy[i]].Serve(cl.ctx, r).Outcome, Forwarded)) }()
+				time.Sleep(interval)
+			}
+		}
+		ask(12, 500*time.Millisecond)
+		time.Sleep(time.Second)
+		assert.Equal(t, cl.loadedServers(idle), 0)
+		assert.Assert(t, cl.hosts[idle].fleet.group("single").set.LongRuns())
+		ask(6, 10*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		assert.Assert(t, cl.loadedServers(idle) > 0)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, cl.loadedServers(idle), 0)
+		assert.Equal(t, cl.backends.arrivals("single"), 18)
+	})
+}
--- a/replica/board.go
+++ b/replica/board.go
@@ -76,7 +76,8 @@
 	told   ServerLoad
 	toldAt time.Time
 	slots  int
-	// long is set if requests ran long from the first one; a server that turns slow is not meant.
+	// long is set if requests run long: the first one did, or hosts report starts. A server that turns
+	// slow is not meant.
 	long bool
 	// busy is the time for which slots were busy since the last end of a request, known up to busyAt.
 	// sumBusy and sumEnds are the decayed sums at endedAt.
@@ -111,6 +112,7 @@
 		delete(e.calls, host)
 	}
 	if l.Waiting == 0 && l.ServiceTime == 0 {
+		e.long = e.long || l.InFlight > 0 && e.serviceTime >= LongRun/2
 		return
 	}
 	weight := 1.0
@@ -133,6 +135,7 @@
 	} else if sample > 0 {
 		e.serviceTime += time.Duration(weight * float64(sample-e.serviceTime))
 	}
+	e.long = e.long && e.serviceTime >= LongRun/2
 	if e.told.ServiceTime == 0 && !e.long {
 		e.told.ServiceTime = e.serviceTime
 	}
@@ -164,10 +167,12 @@
 	if !e.long {
 		return e.serviceTime
 	}
-	if e.addBusy(now); e.busy >= overdueFactor*e.serviceTime {
-		return e.busy
+	e.addBusy(now)
+	running := time.Duration(min(e.inFlight(now), e.slots))
+	if running == 0 || e.busy < overdueFactor*running*e.serviceTime {
+		return e.serviceTime
 	}
-	return e.serviceTime
+	return e.busy / running // They may have started together.
 }
 
 // Left forgets the calls in flight from a host.
--- a/replica/board_test.go
+++ b/replica/board_test.go
@@ -91,3 +91,56 @@
 	}
 	assert.Equal(t, len(told), servers)
 }
+
+// inFlight reports calls in flight of a host, or the end of one if serviceTime is not 0.
+func inFlight(b *Board, host string, n int, serviceTime time.Duration, now time.Time) []ServerLoad {
+	b.Observe(host, ServerLoad{Server: "s", InFlight: n, ServiceTime: serviceTime}, 2, now)
+	changes, _ := b.Changes(now)
+	return changes
+}
+
+// Where requests run long, hosts are told that a server is full before anything ends there, that it
+// is no longer, and when a host that has calls there is lost.
+func TestBoardTellsLongRequests(t *testing.T) {
+	now := time.Unix(0, 0)
+	const run = 200 * time.Millisecond
+	b := NewBoard()
+	assert.DeepEqual(t, inFlight(b, "a", 0, run, now), []ServerLoad{{Server: "s", ServiceTime: run}})
+	now = now.Add(time.Second)
+	assert.Equal(t, len(inFlight(b, "a", 1, 0, now)), 0, "a slot is free")
+	assert.DeepEqual(t, inFlight(b, "b", 2, 0, now), []ServerLoad{{Server: "s", ServiceTime: run, InFlight: 3}})
+	assert.Equal(t, len(inFlight(b, "b", 2, 0, now)), 0)
+	b.Left("b")
+	changes, again := b.Changes(now)
+	assert.DeepEqual(t, changes, []ServerLoad{{Server: "s", ServiceTime: run, InFlight: 1}})
+	assert.Assert(t, again)
+	assert.DeepEqual(t, b.Loaded(), changes)
+}
+
+// A long run time does not include waits, however long the queue; it grows before anything ends when
+// requests are overdue, and one probe after a while is enough to tell that it has fallen.
+func TestLongRunTimeExcludesWaits(t *testing.T) {
+	now := time.Unix(0, 0)
+	const run = 200 * time.Millisecond
+	b := NewBoard()
+	inFlight(b, "a", 0, run, now)
+	inFlight(b, "a", 20, 0, now)
+	for n := 19; n >= 0; n-- {
+		now = now.Add(run / 2) // Two slots.
+		inFlight(b, "a", n, time.Duration(20-n)*run/2, now)
+	}
+	e := b.servers["s"]
+	assert.Assert(t, !differs(e.serviceTime, run), "%v", e.serviceTime)
+
+	inFlight(b, "a", 1, 0, now)
+	now = now.Add(3 * run)
+	changes, _ := b.Changes(now)
+	assert.Equal(t, changes[0].ServiceTime, 3*run)
+	now = now.Add(2 * run)
+	inFlight(b, "a", 0, 5*run, now)
+	slow := e.serviceTime
+	now = now.Add(time.Minute)
+	inFlight(b, "a", 1, 0, now)
+	inFlight(b, "a", 0, run, now.Add(run))
+	assert.Assert(t, slow > run*4/3 && !differs(e.serviceTime, run), "%v, then %v", slow, e.serviceTime)
+}
--- a/replica/longrun_test.go
+++ b/replica/longrun_test.go
@@ -21,6 +21,15 @@
 	farAway                = 40 * ms
 )
 
+// chooser is who chooses servers: hosts that are told loads, each host alone, or one who sees all queues.
+type chooser int
+
+const (
+	told chooser = iota
+	alone
+	seesAll
+)
+
 // pool is ten servers that run long requests, in three regions, and hosts that choose one for each.
 type pool struct {
 	rng   *rand.Rand
@@ -33,9 +42,8 @@
 	queues  [longServers][]*longRequest
 	slow    [longServers]float64
 	speed   [longServers]float64
-	// all is set if a request is placed by someone who sees all queues.
-	all  bool
-	took []time.Duration
+	who     chooser
+	took    []time.Duration
 }
 
 type longRequest struct {
@@ -63,8 +71,8 @@
 
 func (p *pool) after(d time.Duration, run func()) { heap.Push(&p.todo, event{p.now.Add(d), run}) }
 
-func newPool(seed uint64, all bool) *pool {
-	p := &pool{rng: rand.New(rand.NewPCG(seed, 1)), now: start, board: replica.NewBoard(), all: all}
+func newPool(seed uint64, who chooser) *pool {
+	p := &pool{rng: rand.New(rand.NewPCG(seed, 1)), now: start, board: replica.NewBoard(), who: who}
 	for i := range longServers {
 		p.speed[i], p.slow[i] = 0.8+0.5*float64((i*7)%longServers)/(longServers-1), 1
 	}
@@ -86,7 +94,7 @@
 func (p *pool) arrive() {
 	r := &longRequest{host: p.rng.IntN(choosers), came: p.now}
 	set := p.hosts[r.host]
-	if p.all {
+	if p.who == seesAll {
 		r.server = p.best(r.host)
 	} else if r.server = set.Probe(p.now, 0, 8*time.Second*choosers/6); r.server == replica.None {
 		r.server = set.Pick(p.now, 0, 0)
@@ -161,7 +169,7 @@
 	})
 }
 
-// run runs the pool for a time, and returns how long the median and the 99th percentile of the requests
+// run runs the pool for a time, and returns the median and the 99th percentile of how long the requests
 // took that ended meanwhile.
 func (p *pool) run(d time.Duration) (median, p99 time.Duration) {
 	p.took = nil
@@ -174,33 +182,34 @@
 	return p.took[len(p.took)/2], p.took[len(p.took)*99/100]
 }
 
-// Hosts that each send a few long requests a minute choose nearly as well as one who sees all queues,
-// also while four servers of ten are five times slower.
+// p99s returns the 99th percentiles in calm, and from 5 s after four servers of ten became five times
+// slower.
+func p99s(seed uint64, perSecond float64, who chooser) (calm, slow time.Duration) {
+	p := newPool(seed, who)
+	p.offer(perSecond)
+	if who == told {
+		p.tell()
+	}
+	p.run(30 * time.Second)
+	_, calm = p.run(time.Minute)
+	for i := range 4 {
+		p.slow[2*i+1] = 5
+	}
+	p.run(5 * time.Second)
+	_, slow = p.run(time.Minute)
+	return calm, slow
+}
+
+// Hosts that each send a few long requests a minute, and are told what the others have in flight, choose
+// nearly as well as one who sees all queues.
 func TestLongRequestsSpread(t *testing.T) {
-	for _, perSecond := range []float64{10, 16, 25, 40} {
+	for _, c := range []struct{ perSecond, calm, slow float64 }{{10, 1.5, 1.6}, {16, 1.5, 1.5}, {25, 1.5, 1.8}, {40, 1.9, 1.9}} {
 		for seed := range uint64(3) {
-			var p99 [2][2]time.Duration
-			for which, all := range []bool{false, true} {
-				p := newPool(seed, all)
-				p.offer(perSecond)
-				p.tell()
-				p.run(30 * time.Second)
-				var median [2]time.Duration
-				median[0], p99[which][0] = p.run(60 * time.Second)
-				for i := range 4 {
-					p.slow[i*2+1] = 5
-				}
-				p.run(5 * time.Second)
-				median[1], p99[which][1] = p.run(60 * time.Second)
-				if !all && perSecond == 40 {
-					for _, l := range p.board.Loaded() {
-						i := int(l.Server[0] - 'a')
-						t.Logf("server %d true %.0f told %v n %d true n %d", i, p.slow[i]*p.speed[i]*220, l.ServiceTime, l.InFlight, p.running[i]+len(p.queues[i]))
-					}
-				}
-				t.Logf("%v/s all %v: p50 %v p99 %v; slow: p50 %v p99 %v", perSecond, all, median[0], p99[which][0], median[1], p99[which][1])
-			}
+			calm, slow := p99s(seed, c.perSecond, told)
+			leastCalm, leastSlow := p99s(seed, c.perSecond, seesAll)
+			ratios := [2]float64{float64(calm) / float64(leastCalm), float64(slow) / float64(leastSlow)}
+			t.Logf("%v a second: %v, slow %v; %.2f and %.2f times the least", c.perSecond, calm.Round(ms), slow.Round(ms), ratios[0], ratios[1])
+			assert.Check(t, ratios[0] <= c.calm && ratios[1] <= c.slow, "%.2f", ratios)
 		}
 	}
-	assert.Assert(t, true)
 }
