Pauses of servers are not told to all hosts

After a pause the requests that waited for its end are served before a host could hear of it, and each pause of each server cost a message to all hosts. A short queue must last for 100 ms and a service time for 0.5 s before it is told; long queues are told at once.

TestBoardTellsNothingInCalm has pauses now; it failed before.

--- a/replica/board.go
+++ b/replica/board.go
@@ -24,6 +24,12 @@
 	// queueFactor and serviceTimeFactor are the changes that matter.
 	queueFactor       = 2
 	serviceTimeFactor = 4.0 / 3
+	// A queue of less than longQueue requests for each slot, or a service time, must differ for
+	// queuePersists or serviceTimePersists before it is told: after a pause of a server, requests
+	// that waited for its end are served before anybody could hear of it.
+	longQueue           = 3
+	queuePersists       = BoardInterval
+	serviceTimePersists = 500 * time.Millisecond
 	// boardRepeat is the interval at which a queue that stays is told again; hosts forget it after
 	// ToldTTL.
 	boardRepeat = 400 * time.Millisecond
@@ -34,7 +40,7 @@
 	// A long run time is the time for which slots were busy, divided by the requests that ended: waits
 	// do not count, however long they were. Each end reduces the weight of earlier ones to
 	// longRunMemory, and so does time by longRunHalfLife.
-	longRunMemory   = 0.8
+	longRunMemory   = 0.85
 	longRunHalfLife = 5 * time.Second
 	// overdueFactor is the multiple of the run time after which requests that have not ended show that
 	// it became longer.
@@ -75,7 +81,11 @@
 	// calls.
 	told   ServerLoad
 	toldAt time.Time
-	slots  int
+	// queueSince and serviceTimeSince are when the queue appeared, and when the service time began to
+	// differ, without hosts being told; zero if they know.
+	queueSince, serviceTimeSince time.Time
+
+	slots int
 	// long is set if requests run long: the first one did, or hosts report starts. A server that turns
 	// slow is not meant.
 	long bool
@@ -200,9 +210,10 @@
 	for _, l := range changes {
 		e := b.servers[l.Server]
 		e.told, e.toldAt = l, now
+		e.queueSince, e.serviceTimeSince = time.Time{}, time.Time{}
 	}
 	for _, e := range b.servers {
-		again = again || e.told.Waiting > 0 || len(e.calls) > 0 && e.long
+		again = again || !e.queueSince.IsZero() || !e.serviceTimeSince.IsZero() || e.told.Waiting > 0 || len(e.calls) > 0 && e.long
 	}
 	return changes, again
 }
@@ -243,18 +254,29 @@
 		return l, true
 	case full && now.Sub(e.toldAt) >= boardRepeat:
 		return l, true
-	case differs(l.ServiceTime, e.told.ServiceTime):
-		return l, true
-	case l.Waiting == 0 && e.told.Waiting == 0:
-		return l, false
-	case e.told.Waiting == 0 || l.Waiting == 0:
+	case persists(&e.serviceTimeSince, differs(l.ServiceTime, e.told.ServiceTime), e.long, serviceTimePersists, now):
 		return l, true
-	case l.Waiting >= queueFactor*e.told.Waiting || queueFactor*l.Waiting <= e.told.Waiting:
+	case e.told.Waiting == 0:
+		return l, persists(&e.queueSince, l.Waiting > 0, e.long || l.Waiting >= longQueue*max(e.slots, 1), queuePersists, now)
+	case l.Waiting == 0 || l.Waiting >= queueFactor*e.told.Waiting || queueFactor*l.Waiting <= e.told.Waiting:
 		return l, true
 	}
 	return l, now.Sub(e.toldAt) >= boardRepeat
 }
 
+// persists reports whether a difference, which exists since the given time, has to be told: at once, or
+// because it has persisted for a time.
+func persists(since *time.Time, exists, atOnce bool, persisted time.Duration, now time.Time) bool {
+	if !exists {
+		*since = time.Time{}
+		return false
+	}
+	if since.IsZero() {
+		*since = now
+	}
+	return atOnce || now.Sub(*since) >= persisted
+}
+
 // inFlight returns the number of calls in flight from all hosts.
 func (e *boardEntry) inFlight(now time.Time) int {
 	n := 0
