--- a/replica/board_test.go
+++ b/replica/board_test.go
@@ -139,7 +139,7 @@
 	inFlight(b, "a", 1, 0, now)
 	now = now.Add(3 * run)
 	changes, _ := b.Changes(now)
-	assert.Equal(t, changes[0].ServiceTime, 3*run)
+	assert.DeepEqual(t, changes, []ServerLoad{{Server: "s", ServiceTime: 3 * run, InFlight: 1}})
 	now = now.Add(2 * run)
 	inFlight(b, "a", 0, 5*run, now)
 	slow := e.serviceTime
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -1,6 +1,7 @@
 // Package replica selects the replica of a shard that a request is sent to,
 // from the latency, load and failures that this host observed and from the
-// reports of other hosts.
+// reports of other hosts. Board decides at the coordinator which of these all
+// hosts are told.
 //
 // Invariants:
 //   - A leaving replica is never selected.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -162,6 +162,22 @@
 TestNoVerdictWithoutAWait@admission/sharedgate.go@s/now.Sub\(s.capacity.lastAt\) > MaxVerdictAge/false/@a verdict without a recent wait
 TestHostsRefuseByTheSharedGate@internal/gateway/sharedgate.go@s/\tg.gate.ApplyVerdict\(v, now\)/\t_ = v/@hosts ignore verdicts
 TestAppliedLoadCountsAsWait@replica/wait.go@s/\tif serviceTime > 0 \{\n\t\tleaf.serviceTime = serviceTime\n\t\}\n//@the service time that another host observed is ignored
+TestToldQueueMovesRequests@replica/wait.go@s/now.Sub\(l.queueReportedAt\) > ownQueueTTL && \(told > 0/false && (told > 0/@hosts ignore the queues that they were told
+TestToldQueueMovesRequests@replica/wait.go@s/ \|\| now.Sub\(l.toldAt\) > ToldTTL//@a told queue holds forever
+TestToldServiceTime@replica/wait.go@s/\(leaf.serviceTime == 0 \|\| now.Sub\(leaf.queueReportedAt\) > ownQueueTTL\)/leaf.serviceTime == 0/@a host that seldom calls a server does not learn that it became slow
+TestBoardTellsNothingInCalm@replica/board.go@s/return atOnce \|\| now.Sub\(\*since\) >= persisted/return true/@pauses of servers are told to all hosts
+TestBoardTellsQueues@replica/board.go@s/\* math.Exp2\(-float64\(now.Sub\(e.observedAt\)\)\/float64\(queueHalfLife\)\)//@a queue that nobody observes any more is told forever
+TestBoardBoundsMessages@replica/board.go@s/changes = changes\[:min\(len\(changes\), maxBoardChanges\)\]\n//@messages about loads grow without bound
+TestLongRunTimeExcludesWaits@replica/board.go@s/if e.long && started && l.ServiceTime > 0 \{/if started \&\& ended > 1<<30 {/@waits count as run time
+TestLongRunTimeExcludesWaits@replica/board.go@s/e.busy < overdueFactor\*running\*e.serviceTime/true/@a server that became slow is found out only when a request ends
+TestBoardTellsLongRequests@replica/board.go@s/\t\tdelete\(e.calls, host\)\n\t\}\n\}\n/\t\t_, _ = e, host\n\t}\n}\n/@the calls of a lost host count on
+TestLongRequestsSpread@replica/wait.go@s/return time.Duration\(toldSpread \*/return time.Duration(0 */@all hosts choose the same server between two messages
+TestLongRequestsSpread@replica/set.go@s/if !s.toldLong\(leaf\) \{/if true {/@each host probes slow servers with the few requests that it has
+TestLoadsArePushed@internal/coordination/server.go@s/(s.verdictsDue), s.loadsDue = true, true/$1 = true/@loads are not told unless a verdict changes
+TestLoadsArePushed@internal/coordination/server.go@s/, Loads: loadsToWire\(s.config.Gates.CombinedLoads\(\)\)//@a host that connects is not told which servers are loaded
+TestSlowReceiverLosesNoLoad@internal/coordination/link.go@s/into.Loads = mergeLoads\(into.GetLoads\(\), m.GetLoads\(\)\)/into.Loads = m.GetLoads()/@a change of a load is lost for a host that reads slowly
+TestIdleHostsLearnLoads@internal/gateway/sharedgate.go@s/\t\tk.board.Observe\(.*\n//@the coordinator tells no loads
+TestIdleHostsLearnStarts@internal/gateway/send.go@s/\tg.reportStart\(c\)\n//@a server that is full is known only when a request ends
 TestHostsMoveWhenTheCoordinatorFreezes@internal/coordination/session.go@s/\} else if silent \{/} else if silent \&\& false {/@a silent coordinator is kept forever
 TestSilentHostIsDropped@internal/coordination/server.go@s/if now.Sub\(l.heard\) >= silenceTimeout \{/if false {/@a host that is not heard any more counts as connected
 TestLateGrantIsReturned@internal/coordination/account.go@s/\} else if granted > 0 \{/} else if false {/@an allowance that came too late is lost
