Run times of long requests are told, not taken from single reports

The coordinator's own host took the run time of each reported request, with what was left in it of its wait, as the service time of the server, and then did not take the told one because the report counted as an observation of its own. Now only an answer of its own goes before the told service time, and reports of long requests change none that is known.

--- a/replica/wait.go
+++ b/replica/wait.go
@@ -73,11 +73,12 @@
 
 // ApplyLoad records the queue length and the smoothed service time (0 is unknown) of a leaf that
 // another host observed. The other host calls the leaf more often or more recently, so its
-// observation replaces the one before.
+// observation replaces the one before. Where requests run long, the service time is that of one request
+// with what is left of its wait: there ApplyTold tells a better one.
 func (s *Set) ApplyLoad(i, waiting int, serviceTime time.Duration, now time.Time) {
 	leaf := s.Leaves[i]
 	leaf.noteQueue(waiting, now)
-	if serviceTime > 0 {
+	if serviceTime > 0 && (leaf.serviceTime == 0 || !s.LongRuns()) {
 		leaf.serviceTime = serviceTime
 	}
 }
@@ -89,7 +90,7 @@
 	queue := max(l.Waiting, l.InFlight-max(leaf.Concurrency, 1)+1)
 	newlyLoaded = queue > 0 && leaf.toldWaiting(now) == 0
 	leaf.toldQueue, leaf.toldAt = queue, now
-	if l.ServiceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.queueReportedAt) > ownQueueTTL) {
+	if l.ServiceTime > 0 && (leaf.serviceTime == 0 || now.Sub(leaf.lastAnswer) > ownQueueTTL) {
 		leaf.serviceTime = l.ServiceTime
 		if s.LongRuns() {
 			leaf.latency, leaf.abandoned = l.ServiceTime, 0 // The own average is of few calls, long ago.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -161,10 +161,12 @@
 TestSharedGateWithShortQueues@admission/sharedgate.go@s/saturationGain = 1.0/saturationGain = 0.0/@more is admitted than servers with short queues take
 TestNoVerdictWithoutAWait@admission/sharedgate.go@s/now.Sub\(s.capacity.lastAt\) > MaxVerdictAge/false/@a verdict without a recent wait
 TestHostsRefuseByTheSharedGate@internal/gateway/sharedgate.go@s/\tg.gate.ApplyVerdict\(v, now\)/\t_ = v/@hosts ignore verdicts
-TestAppliedLoadCountsAsWait@replica/wait.go@s/\tif serviceTime > 0 \{\n\t\tleaf.serviceTime = serviceTime\n\t\}\n//@the service time that another host observed is ignored
+TestAppliedLoadCountsAsWait@replica/wait.go@s/\tif serviceTime > 0 && \(.*\n\t\tleaf.serviceTime = serviceTime\n\t\}\n//@the service time that another host observed is ignored
 TestToldQueueMovesRequests@replica/wait.go@s/now.Sub\(l.queueReportedAt\) > ownQueueTTL && \(told > 0/false && (told > 0/@hosts ignore the queues that they were told
 TestToldQueueMovesRequests@replica/wait.go@s/ \|\| now.Sub\(l.toldAt\) > ToldTTL//@a told queue holds forever
-TestToldServiceTime@replica/wait.go@s/\(leaf.serviceTime == 0 \|\| now.Sub\(leaf.queueReportedAt\) > ownQueueTTL\)/leaf.serviceTime == 0/@a host that seldom calls a server does not learn that it became slow
+TestToldServiceTime@replica/wait.go@s/\(leaf.serviceTime == 0 \|\| now.Sub\(leaf.lastAnswer\) > ownQueueTTL\)/leaf.serviceTime == 0/@a host that seldom calls a server does not learn that it became slow
+TestReportedLongRunIsNotTheServiceTime@replica/wait.go@s/ && \(leaf.serviceTime == 0 \|\| !s.LongRuns\(\)\)//@the run time of one long request displaces the told one
+TestReportedLongRunIsNotTheServiceTime@replica/wait.go@s/now.Sub\(leaf.lastAnswer\) > ownQueueTTL/now.Sub(leaf.queueReportedAt) > ownQueueTTL/@the reports of others keep the coordinator's host from what it is told
 TestBoardTellsNothingInCalm@replica/board.go@s/return atOnce \|\| now.Sub\(\*since\) >= persisted/return true/@pauses of servers are told to all hosts
 TestBoardTellsQueues@replica/board.go@s/\* math.Exp2\(-float64\(now.Sub\(e.observedAt\)\)\/float64\(queueHalfLife\)\)//@a queue that nobody observes any more is told forever
 TestBoardBoundsMessages@replica/board.go@s/changes = changes\[:min\(len\(changes\), maxBoardChanges\)\]\n//@messages about loads grow without bound
