--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"storj.io/drpc"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
@@ -85,15 +83,15 @@
 		select {
 		case f := <-s.posts:
 			now := time.Now()
-			s.catchUp(now)
-			f(now)
+			contain(s.log, "tick", func() { s.catchUp(now) })
+			contain(s.log, "report of a host", func() { f(now) })
 		case <-wakeup:
-			s.catchUp(time.Now())
+			contain(s.log, "tick", func() { s.catchUp(time.Now()) })
 		case <-ctx.Done():
 			s.dropAll(errStopping, time.Now())
 			return
 		}
-		s.push(time.Now())
+		contain(s.log, "verdict", func() { s.push(time.Now()) })
 	}
 }
 
@@ -135,7 +133,7 @@
 	s.config.Ledger.SetConfig(state.Limit, state.Hosts, now)
 	for _, l := range s.links {
 		if now.Sub(l.heard) >= silenceTimeout {
-			s.drop(l, errSilent, false, now)
+			s.drop(l, errSilent, now)
 		}
 	}
 	s.config.Ledger.Sweep(now)
@@ -155,8 +153,19 @@
 	s.log.Info().Int("hosts", len(s.links)).Int("of", s.hosts).Float64("fraction", float64(len(s.links))/float64(max(s.hosts, 1))).Msg("this host coordinates")
 }
 
-// serve serves the stream of one host until it ends.
+// serve serves the stream of one host until it ends. It first sends an empty message, by which a host
+// learns that this one coordinates before it leaves another.
 func (s *server) serve(stream ServerStream) error {
+	refused := make(chan error, 1)
+	if !s.post(func(time.Time) { refused <- s.refusal() }) {
+		return errStopping
+	}
+	if err := <-refused; err != nil {
+		return err
+	}
+	if err := stream.Send(&relaypb.CoordinateVerdict{}); err != nil {
+		return err
+	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -174,10 +183,7 @@
 	for {
 		report, err := stream.Recv()
 		if err != nil {
-			s.post(func(now time.Time) {
-				silent := now.Sub(l.heard) >= silenceTimeout
-				s.drop(l, err, endedByPeer(err) && !silent, now)
-			})
+			s.post(func(now time.Time) { s.drop(l, err, now) })
 			return
 		}
 		if !s.post(func(now time.Time) { s.report(l, report, now) }) {
@@ -186,17 +192,13 @@
 	}
 }
 
-// endedByPeer reports whether the error of a stream means that the process at the other end has
-// ended: its kernel closed the connection, which drpc reports as context.Canceled, or reset it,
-// which it reports as a drpc.ClosedError. A host that runs on closes the stream first, which
-// is io.EOF. A connection that timed out tells nothing about the process.
-func endedByPeer(err error) bool {
-	return errors.Is(err, context.Canceled) || errors.Is(err, syscall.ECONNRESET) || drpc.ClosedError.Has(err)
-}
-
 // join adds the stream of a host.
 func (s *server) join(l *link, first *relaypb.CoordinateReport, now time.Time) {
-	if err := s.refusal(l.host); err != nil {
+	err := s.refusal()
+	if l.host == "" {
+		err = errNameless
+	}
+	if err != nil {
 		l.close(err)
 		return
 	}
@@ -210,15 +212,13 @@
 	s.report(l, first, now)
 }
 
-// refusal returns why a host cannot join, or nil.
-func (s *server) refusal(host string) error {
+// refusal returns why no host can join, or nil.
+func (s *server) refusal() error {
 	switch {
 	case s.stopping:
 		return errStopping
 	case s.hosts == 0:
 		return errNotReady
-	case host == "":
-		return errNameless
 	}
 	return nil
 }
@@ -245,7 +245,7 @@
 		s.verdictsDue, s.loadsDue = true, true
 	}
 	if m.GetLeaving() {
-		s.drop(l, errLeft, true, now)
+		s.drop(l, errLeft, now)
 	}
 }
 
@@ -260,16 +260,17 @@
 	return grants
 }
 
-// drop removes the stream of a host. ended reports whether its process is known to have ended.
-func (s *server) drop(l *link, err error, ended bool, now time.Time) {
+// drop removes the stream of a host.
+func (s *server) drop(l *link, err error, now time.Time) {
 	l.close(err)
 	if s.links[l.host] != l {
 		return
 	}
 	delete(s.links, l.host)
-	s.config.Ledger.Left(l.host, ended, now)
+	// Its process may run on, or run again, as a host of another coordinator, also if it has left.
+	s.config.Ledger.Left(l.host, false, now)
 	s.config.Gates.Left(l.host, now)
-	s.log.Info().Str("peer", l.host).Err(err).Bool("ended", ended).Int("hosts", len(s.links)).Msg("host left the coordinator")
+	s.log.Info().Str("peer", l.host).Err(err).Int("hosts", len(s.links)).Msg("host left the coordinator")
 	if len(s.links) == 0 {
 		s.logLinks()
 	}
@@ -277,7 +278,7 @@
 
 func (s *server) dropAll(err error, now time.Time) {
 	for _, l := range s.links {
-		s.drop(l, err, false, now)
+		s.drop(l, err, now)
 	}
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// SilenceLimit is the silence after which a host or a ledger counts as cut off.
+	// SilenceLimit is the silence after which a host takes its ledger for lost.
 	SilenceLimit = 1200 * time.Millisecond
+	// hostSilenceLimit is the silence after which a ledger no longer counts a host. It is shorter by a
+	// heartbeat, so that a ledger has stopped granting a host's fraction when the host turns elsewhere.
+	hostSilenceLimit = 800 * time.Millisecond
 	// settleTime is how long a new ledger waits for the reports of hosts.
 	settleTime = 500 * time.Millisecond
 	// absentShare is the share of the hosts (besides one) for which a new ledger does not wait.
@@ -17,8 +20,12 @@
 	// endedTTL is for how long a host counts as heard whose process ended. By then it runs again
 	// or is no longer known.
 	endedTTL = 10 * time.Second
-	// checkInterval is the interval at which silent hosts are looked for.
+	// checkInterval is the interval at which silent hosts and refilled buckets are looked for.
 	checkInterval = 50 * time.Millisecond
+	// pausedTime is the time without a call after which the ledger was paused itself; hosts then have
+	// resumeTime to be heard.
+	pausedTime = 200 * time.Millisecond
+	resumeTime = 100 * time.Millisecond
 	// riseMemory is for how long a rise of the fraction matters to idle buckets.
 	riseMemory = time.Minute
 )
@@ -34,6 +41,11 @@
 	// metered holds the metered teams among teams; version changes with it.
 	metered map[string]*account
 	version uint64
+	// list holds the names of metered, in order, as of listVersion; listedAt is when refilled
+	// buckets were looked for last.
+	list        []string
+	listVersion uint64
+	listedAt    time.Time
 
 	// fraction is the share of the known hosts that are heard.
 	fraction  float64
@@ -62,7 +74,10 @@
 // account is the bucket of one team.
 type account struct {
 	bucket
-	limit Limit
+	// limit is the last usable limit. unlimited is set while there is none: the bucket then stays, in
+	// case that the limit comes back.
+	limit     Limit
+	unlimited bool
 	// taken are the requests in the current window.
 	taken window
 	// below and above are the levels at which the team becomes metered and free.
@@ -88,12 +103,11 @@
 	l.limits, l.known = limits, max(0, hosts)
 	for team, a := range l.teams {
 		a.refill(now)
-		a.limit = limits(team)
-		if !a.limit.Limited() || !a.limit.usable() {
-			l.drop(team)
-			continue
+		limit := limits(team)
+		if a.unlimited = !limit.Limited() || !limit.usable(); !a.unlimited {
+			a.limit = limit
+			l.scale(a)
 		}
-		l.scale(a)
 		l.meter(team, a)
 	}
 	l.recheck(now)
@@ -103,7 +117,7 @@
 // nanoseconds; recent is what it admitted in the last window, without what it will yet report.
 func (l *Ledger) Join(host string, incarnation uint64, recent []Count, now time.Time) {
 	l.check(now)
-	if h := l.hosts[host]; h != nil && incarnation < h.incarnation {
+	if h := l.hosts[host]; h != nil && !h.ended && incarnation < h.incarnation {
 		return
 	}
 	if l.startedAt.IsZero() {
@@ -127,13 +141,15 @@
 	if h == nil || h.ended {
 		return
 	}
-	silent := now.Sub(h.at) > SilenceLimit
-	h.at = now
-	if silent || l.startedAt.IsZero() {
-		l.recheck(now)
+	if now.Sub(h.at) <= hostSilenceLimit && !l.startedAt.IsZero() {
+		h.at = now
+		l.check(now)
 		return
 	}
-	l.check(now)
+	// Whether the others were silent too has to be seen first.
+	l.recheck(now)
+	h.at = now
+	l.recheck(now)
 }
 
 // Left records that the stream of a host ended. ended is set if its process has ended: it then
@@ -199,6 +215,7 @@
 }
 
 // Metered returns the teams for which hosts must ask, in order, and a version that changes with the list.
+// The list must not be changed. It is called for each message, so it looks for refilled buckets only at times.
 // Version 0 means that the ledger does not know yet: no list must be sent then, and hosts ask for
 // every team.
 func (l *Ledger) Metered(now time.Time) (teams []string, version uint64) {
@@ -206,11 +223,17 @@
 	if l.settledAt.IsZero() {
 		return nil, 0
 	}
-	for team, a := range l.metered {
-		a.refill(now)
-		l.meter(team, a)
+	if now.Sub(l.listedAt) >= checkInterval {
+		l.listedAt = now
+		for team, a := range l.metered {
+			a.refill(now)
+			l.meter(team, a)
+		}
 	}
-	return slices.Sorted(maps.Keys(l.metered)), l.version
+	if l.listVersion != l.version {
+		l.list, l.listVersion = slices.Sorted(maps.Keys(l.metered)), l.version
+	}
+	return l.list, l.version
 }
 
 // Sweep forgets hosts that are silent and teams that are idle.
@@ -224,7 +247,7 @@
 	for team, a := range l.teams {
 		a.refill(now)
 		l.meter(team, a)
-		if a.level >= a.depth && l.metered[team] == nil && a.taken.sum(l.bound.Window, now) == 0 {
+		if (a.unlimited || a.level >= a.depth && l.metered[team] == nil) && a.taken.sum(l.bound.Window, now) == 0 {
 			l.drop(team)
 		}
 	}
@@ -236,6 +259,9 @@
 // account returns the account of a team, up to date; nil if it has no usable limit.
 func (l *Ledger) account(team string, now time.Time) *account {
 	if a := l.teams[team]; a != nil {
+		if a.unlimited {
+			return nil
+		}
 		a.refill(now)
 		return a
 	}
@@ -286,7 +312,7 @@
 
 // meter notes whether a team is metered.
 func (l *Ledger) meter(team string, a *account) {
-	known := l.bound.alwaysMetered(a.limit)
+	known := a.unlimited || l.bound.alwaysMetered(a.limit)
 	metered := l.metered[team] != nil
 	switch {
 	case known || metered && a.level >= a.above:
@@ -330,13 +356,16 @@
 
 // recheck counts the hosts that are heard, and settles a new ledger.
 func (l *Ledger) recheck(now time.Time) {
+	if now.Sub(l.checkedAt) > pausedTime {
+		l.resume(now)
+	}
 	l.checkedAt = now
 	heard, ended, complete := 0, 0, 0
 	for _, h := range l.hosts {
 		switch {
 		case h.ended && now.Sub(h.at) <= endedTTL:
 			ended++
-		case !h.ended && now.Sub(h.at) <= SilenceLimit:
+		case !h.ended && now.Sub(h.at) <= hostSilenceLimit:
 			heard++
 			if h.complete {
 				complete++
@@ -358,6 +387,22 @@
 	}
 }
 
+// resume keeps counting, for a moment, the hosts that have not had the time to turn elsewhere.
+func (l *Ledger) resume(now time.Time) {
+	for _, h := range l.hosts {
+		if !h.ended && now.Sub(h.at) <= SilenceLimit {
+			h.at = later(h.at, now.Add(resumeTime-hostSilenceLimit))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // setFraction changes the size of all buckets.
 func (l *Ledger) setFraction(fraction float64, now time.Time) {
 	if fraction == l.fraction {
@@ -418,7 +463,7 @@
 	if l.missing > 0 {
 		unknown = atMost(l.missing * l.bound.allowed(a.limit))
 	}
-	return level - float64(len(a.places)) - max(0, unknown-l.bound.tolerance(a.limit))
+	return level - max(0, unknown-l.bound.tolerance(a.limit))
 }
 
 func clampCount(n int) int { return max(-maxCount, min(maxCount, n)) }
