--- a/internal/coordination/loads_test.go
+++ b/internal/coordination/loads_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -29,21 +30,35 @@
 
 func (g *fakeGates) CombinedLoads() []Load { return g.loaded }
 
-// fakeListener records the waiting requests of each server, and the times of the messages.
+// fakeListener records the waiting requests of each server, and counts the messages.
 type fakeListener struct {
 	noListener
 	mu      sync.Mutex
 	waiting map[string]int
-	heardAt []time.Time
+	heard   int
 }
 
-func (l *fakeListener) LoadsChanged(loads []Load, now time.Time) {
+// known returns the waiting requests of each server.
+func (l *fakeListener) known() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.waiting)
+}
+
+// messages returns the number of messages with loads.
+func (l *fakeListener) messages() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard
+}
+
+func (l *fakeListener) LoadsChanged(loads []Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, load := range loads {
 		l.waiting[load.Server] = load.Waiting
 	}
-	l.heardAt = append(l.heardAt, now)
+	l.heard++
 }
 
 // Hosts learn of loads although no verdict changes, and only of changes; one that connects later is
@@ -54,16 +69,16 @@
 		f.at(0).server.post(func(time.Time) { f.at(0).server.config.Gates = gates })
 		f.listen(listener)
 		time.Sleep(2 * time.Second)
-		assert.DeepEqual(t, listener.waiting, map[string]int{"known": 4})
+		assert.DeepEqual(t, listener.known(), map[string]int{"known": 4})
 		gates.changes <- Load{Server: "s", Waiting: 8}
 		f.at(1).ObserveLoad("s", 8, 0, 1)
 		time.Sleep(verdictInterval + loadInterval + time.Millisecond)
-		assert.DeepEqual(t, listener.waiting, map[string]int{"known": 4, "s": 8})
+		assert.DeepEqual(t, listener.known(), map[string]int{"known": 4, "s": 8})
 		gates.changes <- Load{Server: "s"} // Told without a further report.
 		time.Sleep(loadInterval)
-		assert.DeepEqual(t, listener.waiting, map[string]int{"known": 4, "s": 0})
+		assert.DeepEqual(t, listener.known(), map[string]int{"known": 4, "s": 0})
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, len(listener.heardAt), 3)
+		assert.Equal(t, listener.messages(), 3)
 	})
 }
 
