--- a/admission/shared.go
+++ b/admission/shared.go
@@ -29,9 +29,6 @@
 	Requests  int
 	Work      time.Duration
 	Objective time.Duration
-	// Answered are admitted requests that have ended since, and AnsweredLate those of them that were
-	// not answered within the objective.
-	Answered, AnsweredLate int
 }
 
 // Verdict is the decision of a SharedGate on the requests of all hosts.
--- a/admission/sharedgate.go
+++ b/admission/sharedgate.go
@@ -58,14 +58,6 @@
 	// requests of a report.
 	maxReportedWork = 10 * time.Second
 	maxReported     = 10000
-	// answerSpan is the time constant with which answers lose weight, and minAnswers the number of
-	// recent answers from which the share of late ones counts.
-	answerSpan = 500 * time.Millisecond
-	minAnswers = 10.0
-	// toleratedLate is the share of late answers that needs no correction, and lateGain by how many
-	// times longer the wait is taken to be if all answers are late.
-	toleratedLate = 0.1
-	lateGain      = 4.0
 	// minWork, in seconds of server time a second, replaces zero where work divides.
 	minWork = 1e-9
 	// unknownCost is the cost of a request of a rank of which no cost is known.
@@ -87,8 +79,6 @@
 	verdict, previous Verdict
 	// overloadStart is when the current overload began, lastRefusal when a verdict last refused.
 	overloadStart, lastRefusal time.Time
-	// answers and lateAnswers are the recent answers and those after the objective.
-	answers, lateAnswers decayedSum
 }
 
 // sharedRank holds the recent load of one rank.
@@ -112,10 +102,6 @@
 // Offered records work that a host reported at now.
 func (s *SharedGate) Offered(offered []Offered, now time.Time) {
 	for _, o := range offered {
-		if 0 < o.Answered && o.Answered <= maxReported && 0 <= o.AnsweredLate && o.AnsweredLate <= o.Answered {
-			s.answers.add(float64(o.Answered), answerSpan, now)
-			s.lateAnswers.add(float64(o.AnsweredLate), answerSpan, now)
-		}
 		if o.Requests > 0 && o.Requests <= maxReported && o.Work >= 0 && o.Work <= time.Duration(o.Requests)*maxReportedWork && o.Objective >= 0 {
 			s.record(o, now)
 		}
@@ -183,26 +169,14 @@
 }
 
 // ObserveWait records the wait at the servers within which a request has enough of them for an
-// answer. It is the wait at the best servers, which hosts do not always choose: if many answers are
-// late although the servers seem to have room, the wait is taken to be longer.
+// answer.
 func (s *SharedGate) ObserveWait(wait time.Duration, now time.Time) {
-	wait = time.Duration(float64(min(wait, maxVerdictTime)) * s.lateFactor(now))
 	s.capacity.observe(min(max(wait, 0), maxVerdictTime), s.target(), s.verdict.RefusedShare > 0, now)
 	if wait <= s.target() {
 		s.capacity.atLeast(floorShare * s.total(now))
 	}
 }
 
-// lateFactor returns the factor by which late answers lengthen the wait.
-func (s *SharedGate) lateFactor(now time.Time) float64 {
-	answers := s.answers.rate(answerSpan, now)
-	if answers*answerSpan.Seconds() < minAnswers {
-		return 1
-	}
-	late := s.lateAnswers.rate(answerSpan, now) / answers
-	return 1 + lateGain*max(0, late-toleratedLate)/(1-toleratedLate)
-}
-
 // target returns the wait to aim for.
 func (s *SharedGate) target() time.Duration {
 	if len(s.ranks) == 0 {
--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -225,8 +225,6 @@
 	sum := a.offered[key]
 	o.Requests += sum.Requests
 	o.Work += sum.Work
-	o.Answered += sum.Answered
-	o.AnsweredLate += sum.AnsweredLate
 	a.offered[key] = o
 	signal(a.news)
 }
--- a/internal/coordination/wire.go
+++ b/internal/coordination/wire.go
@@ -69,7 +69,6 @@
 		byService[w.GetService()] = append(byService[w.GetService()], admission.Offered{
 			Class:    admission.Class{Rank: w.GetRank(), Late: w.GetLate(), Returning: w.GetReturning(), Team: w.GetTeam()},
 			Requests: clampCount(w.GetCount()), Work: micros(w.GetWorkUs()), Objective: micros(w.GetObjectiveUs()),
-			Answered: clampCount(w.GetAnswered()), AnsweredLate: clampCount(w.GetAnsweredLate()),
 		})
 	}
 	return byService
@@ -79,7 +78,6 @@
 	return &relaypb.OfferedWork{
 		Service: service, Rank: o.Rank, Late: o.Late, Returning: o.Returning, Team: o.Team,
 		Count: uint32(min(max(o.Requests, 0), maxCount)), WorkUs: toMicros(o.Work), ObjectiveUs: toMicros(o.Objective),
-		Answered: uint32(min(max(o.Answered, 0), maxCount)), AnsweredLate: uint32(min(max(o.AnsweredLate, 0), maxCount)),
 	}
 }
 
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -31,19 +31,6 @@
 	return notRun(CauseOverloaded, reason, decision.RetryAfter), false
 }
 
-// reportEnd tells the gate of all hosts how an admitted request ended.
-func (q *query) reportEnd(a Answer, now time.Time) {
-	if a.Outcome == CallerLeft || !q.gateway.sharesGates(q.view) {
-		return
-	}
-	ended := admission.Offered{Class: admission.Class{Rank: q.rank}, Objective: q.objective, Answered: 1}
-	onTime := (a.Outcome == Forwarded || a.Outcome == Gathered) && now.Sub(q.request.Arrived) <= q.objective
-	if !onTime {
-		ended.AnsweredLate = 1
-	}
-	q.gateway.coordination.Offer(q.groups[0].service, ended)
-}
-
 // describeGate says which gate decided.
 func describeGate(d admission.Decision) string {
 	if d.Shared {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -155,9 +155,7 @@
 	if refused, ok := q.admit(time.Now()); !ok {
 		return refused
 	}
-	answer := q.finish(q.run(ctx))
-	q.reportEnd(answer, time.Now())
-	return answer
+	return q.finish(q.run(ctx))
 }
 
 // newQuery returns the query that serves a request. A route without shards is served as a query
