--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -10,14 +10,9 @@
 	"github.com/mallowgap/mallowgap/team"
 )
 
-const (
-	// patienceShare is the share of the time that a caller has left for which it waits when it is told
-	// to retry.
-	patienceShare = 1.0 / 3
-	// keepShare is the share of the objective for which an allowance is kept at most. A caller that
-	// returns later is late, and the allowance would be missing for a request that is on time.
-	keepShare = 0.5
-)
+// patienceShare is the share of the time that a caller has left for which it waits when it is told
+// to retry.
+const patienceShare = 1.0 / 3
 
 // takeQuota takes a request from the limit of its team, before it is sent anywhere. If the limit is
 // exceeded, it returns the refusal.
@@ -25,7 +20,7 @@
 	if member == nil || !member.Limit.Limited() {
 		return Answer{}, true
 	}
-	patience := time.Duration(min(patienceShare*float64(max(q.request.Timeout, 0)), keepShare*float64(q.objective)))
+	patience := time.Duration(patienceShare * float64(max(q.request.Timeout, 0)))
 	waitCtx, cancel := context.WithDeadline(ctx, q.end)
 	defer cancel()
 	ruling := q.gateway.coordination.Take(waitCtx, member.Name, member.Limit, patience, q.mayReturn())
