A raised limit finds its team metered on every host

Cause: a team that is always metered under its limit was left out of the list of the ledger, as hosts know it by the limit. A host that learned of a higher limit, under which the team is not always metered, then admitted freely until the ledger knew that limit too, at most a heartbeat (400 ms) later, and the hosts together admitted a whole tolerance beside a full window.

Change: the list holds such teams as well while they have an account.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -224,7 +224,7 @@
 	for team, a := range l.teams {
 		a.refill(now)
 		l.meter(team, a)
-		if a.level >= a.depth && l.metered[team] == nil && a.taken.sum(l.bound.Window, now) == 0 {
+		if a.level >= a.depth && (l.metered[team] == nil || a.below > a.depth) && a.taken.sum(l.bound.Window, now) == 0 {
 			l.drop(team)
 		}
 	}
@@ -284,12 +284,12 @@
 	a.put(0)
 }
 
-// meter notes whether a team is metered.
+// meter notes whether a team is metered. Hosts are told also of one that is always metered, as they
+// may know of a higher limit first.
 func (l *Ledger) meter(team string, a *account) {
-	known := l.bound.alwaysMetered(a.limit)
 	metered := l.metered[team] != nil
 	switch {
-	case known || metered && a.level >= a.above:
+	case metered && a.level >= a.above:
 		delete(l.metered, team)
 	case a.level < a.below:
 		l.metered[team] = a
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -46,3 +46,19 @@
 		}
 	}
 }
+
+// TestRaisedLimitStaysWithinTheBound guards against hosts that admit freely because a higher limit
+// does not have the team metered at all times, before the ledger knows that limit.
+func TestRaisedLimitStaysWithinTheBound(t *testing.T) {
+	before, raised := quota.Limit{PerSecond: 1, Burst: 2}, quota.Limit{PerSecond: 2, Burst: 4}
+	for seed := range uint64(10) {
+		f := newFleet(seed, 5, quota.Bound{Window: 5 * time.Second, Excess: 0.1, Slack: 5}, map[string]quota.Limit{"team": before})
+		f.load(200)
+		f.run(10 * time.Second)
+		f.limits["team"] = raised
+		f.run(400 * time.Millisecond) // A ledger learns of a limit with its heartbeat.
+		f.configure()
+		f.run(10 * time.Second)
+		f.check(t, map[string]quota.Limit{"team": raised})
+	}
+}
