--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -8,7 +8,7 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 go test -c -o "$scratch/soak.test" ./platform/soak
-guard() { # NAME FILES SED
+guard() { # NAME FILES SED [FIRST_SEED]
   [[ -z ${GUARD:-} || $1 == "$GUARD" ]] || return 0
   rm -rf "$scratch/copy"
   mkdir "$scratch/copy"
@@ -19,7 +19,7 @@
   done
   (cd "$scratch/copy" && go build -o "$scratch/mutant" ./cmd/mallowgap)
   for ((n = 0; n < most; n += 4)); do
-    if ! (cd platform/soak && "$scratch/soak.test" -soak.binary "$scratch/mutant" -soak.seed $((1000 + n)) -soak.seeds 4 -soak.jobs 4 -soak.timed -soak.length 6s) >"$scratch/out" 2>&1; then
+    if ! (cd platform/soak && "$scratch/soak.test" -soak.binary "$scratch/mutant" -soak.seed $((${4:-1000} + n)) -soak.seeds 4 -soak.jobs 4 -soak.timed -soak.length 6s) >"$scratch/out" 2>&1; then
       echo "$1: detected within $((n + 4)) seeds: $(grep -m1 -E '^ {8}[ic]' "$scratch/out" || true)"
       return 0
     fi
@@ -36,3 +36,10 @@
 guard "planned stop" internal/gateway/server.go 's/s.callers.Shutdown\(ctx\)/s.callers.Close()/; s/cut := g.WaitDrained\(ctx\)/cut, _ := 0, ctx/; s/sleep\(ctx, g.settings.GetShutdown\(\).GetBalancerLag\(\).AsDuration\(\)\)//'
 guard "retry budget" retry/window.go 's/> share\*float64\(first\)\+slack/> 1e9+share*float64(first)+slack/'
 guard "quarantine" "quarantine/suspicion.go" 's/return s.served == 0 \&\& s.suspected \|\| s.unreported.Crashes > s.served/return false/'
+guard "keys" internal/gateway/team.go 's/case known \|\| entry.Public:/case known || !known:/' 30002
+guard "keys stay" internal/gateway/team.go 's/^\tr.Header.Del\(headerAuthorization\)$//' 30002
+guard "new keys" route/table.go 's/t.teams = team.NewDirectory\(config.Teams\)/if firstTeams == nil { firstTeams = team.NewDirectory(config.Teams) }; t.teams = firstTeams/; s/^type Table struct/var firstTeams *team.Directory\n\n&/' 30002
+guard "team header" internal/gateway/team.go 's/^\tr.Header.Del\(g.adapters.TeamHeader\)$//' 30002
+guard "quotas" internal/gateway/quota.go 's/if ruling.Action == quota.Refuse \{/if ruling.Action == quota.Refuse \&\& false {/' 30002
+guard "own fraction" quota/meter.go 's/limit, m.hosts, m.rank, m.aloneSince/limit, 1, 0, m.aloneSince/' 30002
+guard "list of metered teams" quota/ledger.go 's/case metered \&\& a.level >= a.above:/case l.bound.alwaysMetered(a.limit) || metered \&\& a.level >= a.above:/' 30002
