--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -196,7 +196,7 @@
 TestFractionsOfTwoLedgers@quota/bound.go@s/share := fraction \* /share := 1.0 * /@a ledger grants the fraction of hosts that it does not hear
 TestHotTeamStaysWithinTheBound@quota/ledger.go@s/l.settle\(1-float64\(complete\)\/float64\(known\), now\)/l.settle(0, now)/@a new ledger begins with full buckets though hosts have started anew
 TestLowerLimitBindsAtOnce|TestHotTeamStaysWithinTheBound@quota/bucket.go@s/min\(b.level\+float64\(n\), b.depth\)/b.level+float64(n)/@a bucket fills beyond its depth
-TestHotTeamStaysWithinTheBound@quota/ledger.go@s/case a.level < a.below:/case false:/@no team becomes metered
+TestHotTeamStaysWithinTheBound@quota/ledger.go@s/case !a.unlimited \&\& a.level < a.below:/case false:/@no team becomes metered
 TestHotTeamStaysWithinTheBound@quota/own.go@s/share := \(usable - limit.Burst\) \/ float64\(hosts\)/share := usable/@a host that is cut off uses the whole limit
 TestHotTeamStaysWithinTheBound@quota/own.go@s/ && !begin.Before\(epoch\)//@hosts that are cut off begin with a request each
 TestReservedAllowance@quota/bucket.go@s/!b.places\[0\].After\(now\) && .* >= 1 \{/true {/@a caller that comes early gets its reserved place
