Revert the earlier garbage collection of hosts with little memory

It also changed earlier deployments, whose weak hosts have 184 MB. Reverted as a precaution: earlier deployments are served as before.

--- a/cmd/mallowgap/gateway.go
+++ b/cmd/mallowgap/gateway.go
@@ -23,11 +23,6 @@
 	// soft memory limit of the Go runtime; the rest is for memory that the
 	// runtime does not count.
 	memoryLimitShare = 0.6
-	// smallMemoryMB is the memory, in MB, below which a host collects garbage when
-	// its heap has grown by smallMemoryGCPercent instead of 100%. Such hosts are
-	// weak, serve few requests and have a heap of a few MB.
-	smallMemoryMB        = 200
-	smallMemoryGCPercent = 50
 	// peerDialTimeout bounds the dial of a peer, at a few round trips between
 	// regions.
 	peerDialTimeout = 250 * time.Millisecond
@@ -58,9 +53,6 @@
 	if err != nil {
 		return fmt.Errorf("[log] level: %w", err)
 	}
-	if file.GetHost().GetMemoryMb() < smallMemoryMB {
-		debug.SetGCPercent(smallMemoryGCPercent)
-	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(file.GetHost().GetMemoryMb()<<20)))
 	backends := platform.NewLeafClient()
 	peers := peer.NewDRPCClient(peerDialTimeout, nil)
