One type for the load of a server

Cause: coordination.Load repeated replica.ServerLoad field by field, with four conversions and two copies of the check for a load that only reports a start. Change: coordination uses replica.ServerLoad, StartsOnly stands there; tests differ in the type's name. Behaviour is the same.

--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -11,6 +11,7 @@
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 const (
@@ -61,7 +62,7 @@
 	asks    map[uint64]*ask
 	unsent  []*ask
 	offered map[offeredKey]admission.Offered
-	loads   map[string]Load
+	loads   map[string]replica.ServerLoad
 }
 
 // offeredKey identifies work that is reported as one.
@@ -84,7 +85,7 @@
 func newAccount(meter Meter) *account {
 	return &account{
 		asked: make(chan struct{}, 1), news: make(chan struct{}, 1), meter: meter,
-		asks: map[uint64]*ask{}, offered: map[offeredKey]admission.Offered{}, loads: map[string]Load{},
+		asks: map[uint64]*ask{}, offered: map[offeredKey]admission.Offered{}, loads: map[string]replica.ServerLoad{},
 	}
 }
 
@@ -130,7 +131,7 @@
 // ObserveLoad reports the load of a server; with no waiting requests and a service time of 0, only the
 // number of calls in flight.
 func (c *Coordination) ObserveLoad(server string, waiting int, serviceTime time.Duration, inFlight int) {
-	c.account.observeLoad(Load{Server: server, Waiting: waiting, ServiceTime: serviceTime, InFlight: inFlight})
+	c.account.observeLoad(replica.ServerLoad{Server: server, Waiting: waiting, ServiceTime: serviceTime, InFlight: inFlight})
 }
 
 func (a *account) setHosts(n, rank int) {
@@ -237,7 +238,7 @@
 	signal(a.news)
 }
 
-func (a *account) observeLoad(l Load) {
+func (a *account) observeLoad(l replica.ServerLoad) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.streaming {
--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -10,6 +10,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/peer"
 	"github.com/mallowgap/mallowgap/quota"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 // State is what a host knows of the fleet and the configuration in force.
@@ -65,27 +66,13 @@
 	Sweep(now time.Time)
 }
 
-// Load is the load of one server.
-type Load struct {
-	Server string
-	// Waiting is the queue length that the server reported.
-	Waiting int
-	// ServiceTime is the run time of a request without its wait; 0 is unknown.
-	ServiceTime time.Duration
-	// InFlight is the number of calls in flight at the server.
-	InFlight int
-}
-
-// StartsOnly reports whether a load reports only the start of calls.
-func (l Load) StartsOnly() bool { return l.Waiting == 0 && l.ServiceTime == 0 }
-
 // GateKeeper decides on admission for all hosts at the coordinator. Only the goroutine that owns
 // the ledger calls it, so it must not block.
 type GateKeeper interface {
 	// Offered passes the work that a host was offered for a service.
 	Offered(host, service string, offered []admission.Offered, now time.Time)
 	// Loads passes the loads of servers that a host observed.
-	Loads(host string, loads []Load, now time.Time)
+	Loads(host string, loads []replica.ServerLoad, now time.Time)
 	// Left reports that the stream of a host has ended.
 	Left(host string, now time.Time)
 	// Verdicts returns the verdict for each service, and whether one has changed since the
@@ -93,9 +80,9 @@
 	Verdicts(now time.Time) (verdicts map[string]admission.Verdict, changed bool)
 	// LoadChanges returns what all hosts have to be told of the loads of servers, and whether it must
 	// be called again although no load is reported meanwhile. It is called every 100 ms at most.
-	LoadChanges(now time.Time) (changes []Load, again bool)
+	LoadChanges(now time.Time) (changes []replica.ServerLoad, again bool)
 	// CombinedLoads returns what a host that has just connected has to be told.
-	CombinedLoads() []Load
+	CombinedLoads() []replica.ServerLoad
 }
 
 // Listener learns at each host what the coordinator decided. Its methods must not block.
@@ -103,7 +90,7 @@
 	// VerdictsChanged passes the verdicts by service.
 	VerdictsChanged(verdicts map[string]admission.Verdict, now time.Time)
 	// LoadsChanged passes the loads of servers that differ from those passed before.
-	LoadsChanged(loads []Load, now time.Time)
+	LoadsChanged(loads []replica.ServerLoad, now time.Time)
 }
 
 // Config holds the dependencies of a Coordination.
@@ -130,16 +117,16 @@
 type noGates struct{}
 
 func (noGates) Offered(string, string, []admission.Offered, time.Time) {}
-func (noGates) Loads(string, []Load, time.Time)                        {}
+func (noGates) Loads(string, []replica.ServerLoad, time.Time)          {}
 func (noGates) Left(string, time.Time)                                 {}
 func (noGates) Verdicts(time.Time) (map[string]admission.Verdict, bool) {
 	return nil, false
 }
-func (noGates) LoadChanges(time.Time) ([]Load, bool) { return nil, false }
-func (noGates) CombinedLoads() []Load                { return nil }
+func (noGates) LoadChanges(time.Time) ([]replica.ServerLoad, bool) { return nil, false }
+func (noGates) CombinedLoads() []replica.ServerLoad                { return nil }
 
 // noListener is a Listener that ignores everything.
 type noListener struct{}
 
 func (noListener) VerdictsChanged(map[string]admission.Verdict, time.Time) {}
-func (noListener) LoadsChanged([]Load, time.Time)                          {}
+func (noListener) LoadsChanged([]replica.ServerLoad, time.Time)            {}
--- a/internal/coordination/loads_test.go
+++ b/internal/coordination/loads_test.go
@@ -10,25 +10,26 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 // fakeGates has one loaded server.
 type fakeGates struct {
 	noGates
-	changes chan Load
-	loaded  []Load
+	changes chan replica.ServerLoad
+	loaded  []replica.ServerLoad
 }
 
-func (g *fakeGates) LoadChanges(time.Time) ([]Load, bool) {
+func (g *fakeGates) LoadChanges(time.Time) ([]replica.ServerLoad, bool) {
 	select {
 	case l := <-g.changes:
-		return []Load{l}, true
+		return []replica.ServerLoad{l}, true
 	default:
 		return nil, true
 	}
 }
 
-func (g *fakeGates) CombinedLoads() []Load { return g.loaded }
+func (g *fakeGates) CombinedLoads() []replica.ServerLoad { return g.loaded }
 
 // fakeListener records the waiting requests of each server, and counts the messages.
 type fakeListener struct {
@@ -52,7 +53,7 @@
 	return l.heard
 }
 
-func (l *fakeListener) LoadsChanged(loads []Load, _ time.Time) {
+func (l *fakeListener) LoadsChanged(loads []replica.ServerLoad, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, load := range loads {
@@ -64,17 +65,17 @@
 // Hosts learn of loads although no verdict changes, and only of changes; one that connects later is
 // told what the others know.
 func TestLoadsArePushed(t *testing.T) {
-	gates, listener := &fakeGates{changes: make(chan Load, 9), loaded: []Load{{Server: "known", Waiting: 4}}}, &fakeListener{waiting: map[string]int{}}
+	gates, listener := &fakeGates{changes: make(chan replica.ServerLoad, 9), loaded: []replica.ServerLoad{{Server: "known", Waiting: 4}}}, &fakeListener{waiting: map[string]int{}}
 	withFleet(t, 2, func(f *fleet) {
 		f.at(0).server.post(func(time.Time) { f.at(0).server.config.Gates = gates })
 		f.listen(listener)
 		time.Sleep(2 * time.Second)
 		assert.DeepEqual(t, listener.known(), map[string]int{"known": 4})
-		gates.changes <- Load{Server: "s", Waiting: 8}
+		gates.changes <- replica.ServerLoad{Server: "s", Waiting: 8}
 		f.at(1).ObserveLoad("s", 8, 0, 1)
 		time.Sleep(verdictInterval + loadInterval + time.Millisecond)
 		assert.DeepEqual(t, listener.known(), map[string]int{"known": 4, "s": 8})
-		gates.changes <- Load{Server: "s"} // Told without a further report.
+		gates.changes <- replica.ServerLoad{Server: "s"} // Told without a further report.
 		time.Sleep(loadInterval)
 		assert.DeepEqual(t, listener.known(), map[string]int{"known": 4, "s": 0})
 		time.Sleep(2 * time.Second)
@@ -94,10 +95,10 @@
 // Changes of loads are not repeated, so one that waits for a slow host must not displace another.
 func TestSlowReceiverLosesNoLoad(t *testing.T) {
 	l := newLink("slow")
-	shared := loadsToWire([]Load{{Server: "a", Waiting: 3}, {Server: "b", Waiting: 5}})
+	shared := loadsToWire([]replica.ServerLoad{{Server: "a", Waiting: 3}, {Server: "b", Waiting: 5}})
 	l.offer(&relaypb.CoordinateVerdict{Loads: shared})
 	l.offer(&relaypb.CoordinateVerdict{Gates: []*relaypb.GateVerdict{{Service: "s"}}})
-	l.offer(&relaypb.CoordinateVerdict{Loads: loadsToWire([]Load{{Server: "b"}, {Server: "c", Waiting: 1}})})
+	l.offer(&relaypb.CoordinateVerdict{Loads: loadsToWire([]replica.ServerLoad{{Server: "b"}, {Server: "c", Waiting: 1}})})
 	waiting := map[string]int{}
 	for _, load := range loadsFromWire(l.take().GetLoads()) {
 		waiting[load.Server] += load.Waiting
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 const (
@@ -349,7 +350,7 @@
 // pushLoads sends the loads of servers that have changed.
 func (s *server) pushLoads(now time.Time) {
 	s.lastLoads = now
-	var changes []Load
+	var changes []replica.ServerLoad
 	if changes, s.loadsDue = s.config.Gates.LoadChanges(now); len(changes) == 0 {
 		return
 	}
--- a/internal/coordination/wire.go
+++ b/internal/coordination/wire.go
@@ -7,6 +7,7 @@
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 const (
@@ -81,24 +82,24 @@
 	}
 }
 
-func loadsFromWire(loads []*relaypb.ServerLoad) []Load {
-	var list []Load
+func loadsFromWire(loads []*relaypb.ServerLoad) []replica.ServerLoad {
+	var list []replica.ServerLoad
 	for _, l := range loads {
-		list = append(list, Load{
+		list = append(list, replica.ServerLoad{
 			Server: l.GetServer(), Waiting: clampCount(l.GetWaiting()), ServiceTime: micros(l.GetServiceTimeUs()), InFlight: clampCount(l.GetInFlight()),
 		})
 	}
 	return list
 }
 
-func loadToWire(l Load) *relaypb.ServerLoad {
+func loadToWire(l replica.ServerLoad) *relaypb.ServerLoad {
 	return &relaypb.ServerLoad{
 		Server: l.Server, Waiting: uint32(min(max(l.Waiting, 0), maxCount)), ServiceTimeUs: toMicros(l.ServiceTime),
 		InFlight: uint32(min(max(l.InFlight, 0), maxCount)),
 	}
 }
 
-func loadsToWire(loads []Load) []*relaypb.ServerLoad {
+func loadsToWire(loads []replica.ServerLoad) []*relaypb.ServerLoad {
 	list := make([]*relaypb.ServerLoad, len(loads))
 	for i, l := range loads {
 		list[i] = loadToWire(l)
--- a/internal/coordination/wire_test.go
+++ b/internal/coordination/wire_test.go
@@ -12,6 +12,7 @@
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/quota"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 // extremeReport and extremeVerdict hold the greatest values that the wire can carry.
@@ -54,7 +55,7 @@
 	}
 }
 
-func (g offeredWork) Loads(_ string, loads []Load, _ time.Time) {
+func (g offeredWork) Loads(_ string, loads []replica.ServerLoad, _ time.Time) {
 	for _, l := range loads {
 		assert.Assert(g.t, l.Waiting >= 0 && l.ServiceTime >= 0 && l.InFlight >= 0, "%+v", l)
 	}
--- a/internal/gateway/sharedgate.go
+++ b/internal/gateway/sharedgate.go
@@ -12,7 +12,6 @@
 
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/internal/control"
-	"github.com/mallowgap/mallowgap/internal/coordination"
 	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/replica"
 )
@@ -76,13 +75,13 @@
 }
 
 // Loads implements coordination.GateKeeper.
-func (k *gateKeeper) Loads(host string, loads []coordination.Load, now time.Time) {
+func (k *gateKeeper) Loads(host string, loads []replica.ServerLoad, now time.Time) {
 	for _, l := range loads {
 		b, servers := k.gateway.findServer(l.Server)
 		if b == nil {
 			continue
 		}
-		k.board.Observe(host, replica.ServerLoad{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime, InFlight: l.InFlight}, b.Slots, now)
+		k.board.Observe(host, l, b.Slots, now)
 		if host != k.gateway.name && !l.StartsOnly() { // Its own calls are known already.
 			servers.applyLoad(b, l, now)
 		}
@@ -93,24 +92,15 @@
 func (k *gateKeeper) Left(host string, _ time.Time) { k.board.Left(host) }
 
 // LoadChanges implements coordination.GateKeeper.
-func (k *gateKeeper) LoadChanges(now time.Time) (changes []coordination.Load, again bool) {
+func (k *gateKeeper) LoadChanges(now time.Time) (changes []replica.ServerLoad, again bool) {
 	if !k.gateway.sharesGates(k.gateway.control.View()) {
 		return nil, false
 	}
-	told, again := k.board.Changes(now)
-	return toldLoads(told), again
+	return k.board.Changes(now)
 }
 
 // CombinedLoads implements coordination.GateKeeper.
-func (k *gateKeeper) CombinedLoads() []coordination.Load { return toldLoads(k.board.Loaded()) }
-
-func toldLoads(told []replica.ServerLoad) []coordination.Load {
-	loads := make([]coordination.Load, len(told))
-	for i, l := range told {
-		loads[i] = coordination.Load{Server: l.Server, Waiting: l.Waiting, ServiceTime: l.ServiceTime, InFlight: l.InFlight}
-	}
-	return loads
-}
+func (k *gateKeeper) CombinedLoads() []replica.ServerLoad { return k.board.Loaded() }
 
 // Verdicts implements coordination.GateKeeper.
 func (k *gateKeeper) Verdicts(now time.Time) (verdicts map[string]admission.Verdict, changed bool) {
@@ -196,10 +186,10 @@
 }
 
 // LoadsChanged implements coordination.Listener.
-func (l *verdictListener) LoadsChanged(loads []coordination.Load, now time.Time) {
+func (l *verdictListener) LoadsChanged(loads []replica.ServerLoad, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var first coordination.Load
+	var first replica.ServerLoad
 	changed := 0
 	for _, load := range loads {
 		b := l.fleet.server(load.Server)
@@ -239,7 +229,7 @@
 }
 
 // applyLoad records the load of a server that another host observed.
-func (g *group) applyLoad(b *backend, l coordination.Load, now time.Time) {
+func (g *group) applyLoad(b *backend, l replica.ServerLoad, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if i := g.indexOf(b.leaf); i != replica.None {
@@ -249,11 +239,11 @@
 
 // applyTold records the load of a server that all hosts were told. It returns whether the server is
 // loaded and was not before.
-func (g *group) applyTold(b *backend, l coordination.Load, now time.Time) (newlyLoaded bool) {
+func (g *group) applyTold(b *backend, l replica.ServerLoad, now time.Time) (newlyLoaded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if i := g.indexOf(b.leaf); i != replica.None {
-		return g.set.ApplyTold(i, replica.ServerLoad{Waiting: l.Waiting, ServiceTime: l.ServiceTime, InFlight: l.InFlight}, now)
+		return g.set.ApplyTold(i, l, now)
 	}
 	return false
 }
--- a/replica/board.go
+++ b/replica/board.go
@@ -65,6 +65,9 @@
 	InFlight int
 }
 
+// StartsOnly reports whether a load reports only the start of calls.
+func (l ServerLoad) StartsOnly() bool { return l.Waiting == 0 && l.ServiceTime == 0 }
+
 // Board combines what hosts observe of servers, and decides what to tell all hosts. It answers
 // demand that moves between regions: hosts with few requests each know queues only from their own
 // last calls, and choose full servers near them while others are idle. While no server is loaded it
@@ -121,7 +124,7 @@
 	if e.calls[host] = (hostCalls{l.InFlight, now}); l.InFlight == 0 {
 		delete(e.calls, host)
 	}
-	if l.Waiting == 0 && l.ServiceTime == 0 {
+	if l.StartsOnly() {
 		e.long = e.long || l.InFlight > 0 && e.serviceTime >= LongRun/2
 		return
 	}
