Candidates for the coordinator are ordered once for each view

Cause: every host hashed and sorted the candidates twice each half second, though the order follows from the view, whose state is computed once. Change: the gateway orders them with the state of the view; the name of the Authorization header stands once in the gateway. Behaviour is the same.

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -160,7 +160,7 @@
 	if !state.Enabled {
 		return Host{}, false
 	}
-	for _, h := range Order(state.Candidates) {
+	for _, h := range state.Candidates {
 		if c.suitable(h, now) {
 			return h, true
 		}
@@ -181,7 +181,7 @@
 // outranks reports whether a candidate is preferred to the current coordinator. That other calls
 // to the coordinator were slow is no reason to leave it: the stream shows whether it responds.
 func (c *Coordination) outranks(candidate, current Host) bool {
-	for _, h := range Order(c.config.State().Candidates) {
+	for _, h := range c.config.State().Candidates {
 		if h == candidate || h == current {
 			return h == candidate && candidate != current
 		}
--- a/internal/coordination/edges.go
+++ b/internal/coordination/edges.go
@@ -17,7 +17,7 @@
 type State struct {
 	// Enabled is set if hosts have decisions to take together.
 	Enabled bool
-	// Candidates are the hosts that may coordinate.
+	// Candidates are the hosts that may coordinate, as Order orders them.
 	Candidates []Host
 	// Hosts is the number of known hosts; 0 while the fleet is unknown.
 	Hosts int
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -61,6 +61,7 @@
 			state.Candidates = append(state.Candidates, coordination.Host{Name: h.Name, Address: h.Address, Domain: h.Domain})
 		}
 	}
+	state.Candidates = coordination.Order(state.Candidates)
 	s.last.Store(&coordinationState{view: v, state: state})
 	return state
 }
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -264,7 +264,7 @@
 // keys of teams, the team stands for the caller, and the host that received the request and its
 // relays find it in the same header.
 func (g *Gateway) fingerprint(r *Request) quarantine.Fingerprint {
-	caller := r.Header.Get("Authorization")
+	caller := r.Header.Get(headerAuthorization)
 	if caller == "" {
 		caller = r.Header.Get(g.adapters.TeamHeader)
 	}
