--- a/fanout/query_test.go
+++ b/fanout/query_test.go
@@ -44,6 +44,20 @@
 	assert.Equal(t, string(a.Records), "0123456789abcdef0123456789abcdef")
 }
 
+// A query without records, for a request to one server, may get two replies to its one shard: the second
+// must change nothing, and used to panic.
+func TestSecondReplyWithoutRecordsChangesNothing(t *testing.T) {
+	q := fanout.New(fanout.Settings{Shards: 1, MinShare: 1, MaxAttempts: 2, AnswerAt: after(1000), Deadline: after(1000)})
+	q.Sent(0, after(30))
+	q.Sent(0, time.Time{})
+	for i, added := range []bool{true, false} {
+		q.Ended(0)
+		assert.Equal(t, q.Offer(fanout.Block{Shards: []int{0}, Signatures: []string{fmt.Sprint("reply", i)}}), added)
+		assert.Assert(t, q.Finished(after(50)))
+	}
+	assert.DeepEqual(t, q.Answer().Signatures, []string{"reply0"})
+}
+
 func TestPartialAnswerFinishesAtAnswerAt(t *testing.T) {
 	q := newQuery(2)
 	q.Sent(0, time.Time{})
