A panic while a request is served ends the request, not its connection

What callers saw: a request that was read whole, and a connection closed with no answer. Gateway.Serve did not recover; net/http did, and closed the connection. Nothing structured was logged, nothing was counted, and an allowance taken from the limit of a team was lost.

Change: Serve recovers and answers: not run with Retry-After if no attempt was prepared, otherwise 502. The request has its usual line and counters, with the cause "panic"; the line of the panic has the route, the version and the stack. Calls in flight are cancelled at once, and a request that no server was sent is given back to the limit of its team. A panic of the metrics or of the log does not replace an answer.

The line of a panic printed {} for runtime errors, as their fields are not exported: it now has their text. These lines are limited to 10 a second, as each holds a stack trace.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -94,6 +94,8 @@
 	CauseSuspect Cause = "suspect"
 	// CauseCallerLeft: the caller closed its connection.
 	CauseCallerLeft Cause = "caller_left"
+	// CausePanic: a panic, a fault of the program, ended the request.
+	CausePanic Cause = "panic"
 )
 
 // Answer is the answer to a caller.
@@ -108,6 +110,10 @@
 	Reply *Reply
 	// Gathered is set if the outcome is Gathered.
 	Gathered fanout.Answer
+	// Route and Version are the route and the version of the configuration by which the request was
+	// served, if they are known.
+	Route   string
+	Version uint64
 }
 
 func notRun(cause Cause, reason string, retryAfter time.Duration) Answer {
--- a/internal/gateway/contain.go
+++ b/internal/gateway/contain.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
 )
 
 // maxStackBytes limits the stack trace in a log line, in bytes.
@@ -27,14 +28,31 @@
 
 // recoverPanic runs fn for a request or a peer and converts a panic into a *PanicError. Without it
 // a panic would end the process, and the caller would retry the same request at the next host.
-func (g *Gateway) recoverPanic(work, request string, fn func() error) (err error) {
+func (g *Gateway) recoverPanic(work, request string, fn func() error) error {
+	return g.recoverPanicWith(work, request, func(e *zerolog.Event) *zerolog.Event { return e }, fn)
+}
+
+// recoverPanicWith is recoverPanic with a function that adds fields to the log line of a panic.
+func (g *Gateway) recoverPanicWith(work, request string, addFields func(*zerolog.Event) *zerolog.Event, fn func() error) (err error) {
 	defer func() {
 		if value := recover(); value != nil {
-			panicsRecovered.Inc()
-			stack := debug.Stack()
-			g.log.Error().Str("request", request).Str("work", work).Interface("fault", value).Bytes("stack", stack[:min(len(stack), maxStackBytes)]).Msg("recovered from a panic: the operation fails, the gateway continues")
+			g.logPanic(work, request, value, addFields)
 			err = &PanicError{Operation: work, Value: value}
 		}
 	}()
 	return fn()
 }
+
+// logPanic logs and counts a panic. It must be called by the deferred function that recovers, so that
+// the stack is that of the panic.
+func (g *Gateway) logPanic(work, request string, value any, addFields func(*zerolog.Event) *zerolog.Event) {
+	panicsRecovered.Inc()
+	defer func() {
+		if recover() != nil {
+			panicsRecovered.Inc() // The log itself panicked, so it can't be told.
+		}
+	}()
+	stack := debug.Stack()
+	e := g.requestLog.faults.Error().Str("request", request).Str("work", work).Str("fault", fmt.Sprint(value)).Bytes("stack", stack[:min(len(stack), maxStackBytes)])
+	addFields(e).Msg("recovered from a panic: the operation fails, the gateway continues")
+}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/control/fakestore"
@@ -69,3 +73,93 @@
 		assert.Equal(cl.t, cl.ask("host1", "/q/x").Outcome, Gathered)
 	})
 }
+
+// setGate replaces the admission gate of a service and returns the old one. Requests panic if it is nil.
+func (g *Gateway) setGate(service string, gate *admission.Gate) *admission.Gate {
+	servers := g.fleet.group(service)
+	servers.mu.Lock()
+	defer servers.mu.Unlock()
+	old := servers.gate
+	servers.gate = gate
+	return old
+}
+
+// A panic while calls are in flight must be answered as possibly run, end the calls, and be told by
+// the log and the counters from the identifier of the request alone.
+func TestPanicAfterARequestWasSentIsAnswered(t *testing.T) {
+	withCluster(t, shardedConfig(7, 2), serversOf(shardNames(2), "a1"), oneHost, func(cl *cluster) {
+		var log strings.Builder
+		g := cl.hosts["host1"]
+		g.requestLog = newRequestLog(zerolog.New(zerolog.SyncWriter(&log)), 1000)
+		gate := g.fleet.group("shard0").gate
+		ended := make(chan struct{}, 1)
+		cl.backends.set("shard0", func(ctx context.Context, r *Request) (*Reply, error) {
+			g.setGate("shard0", nil)
+			reply, err := serve("shard0", leafServiceTime)(ctx, r)
+			reply.Load = Load{Known: true}
+			return reply, err
+		})
+		cl.backends.set("shard1", func(ctx context.Context, r *Request) (*Reply, error) {
+			defer func() { ended <- struct{}{} }()
+			return silent(ctx, r)
+		})
+		panics := panicsRecovered.Get()
+		r := cl.newRequest("/q/x")
+		a := g.Serve(cl.ctx, r)
+		assert.Assert(t, a.Outcome == Failed && a.Cause == CausePanic && a.RetryAfter == 0, "%+v", a)
+		assert.Assert(t, strings.Contains(a.Reason, "fault of the program"), a.Reason)
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, len(ended), 1, "the call in flight must be cancelled")
+		assert.Equal(t, g.InFlight(), 0)
+		assert.Equal(t, panicsRecovered.Get(), panics+1)
+		lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+		assert.Equal(t, len(lines), 2, log.String())
+		for line, wants := range map[string][]string{
+			lines[0]: {`"stack":"goroutine`, `"fault":"runtime error`, `"route":"query"`},
+			lines[1]: {`"message":"request"`, `"outcome":"failed"`, `"cause":"panic"`, "runtime error"},
+		} {
+			for _, want := range append(wants, fmt.Sprintf(`"request":%q`, r.ID), `"version":7`) {
+				assert.Check(t, strings.Contains(line, want), "%s is not in %s", want, line)
+			}
+		}
+		g.setGate("shard0", gate)
+		cl.backends.set("shard0", nil)
+		cl.backends.set("shard1", nil)
+		assert.Equal(t, cl.ask("host1", "/q/x").Outcome, Gathered)
+	})
+}
+
+// A panic before a request was sent must be answered as not run, and give the request back to the
+// limit of its team.
+func TestPanicBeforeARequestWasSentIsAnswered(t *testing.T) {
+	config := limitedConfig()
+	config.Teams[0].Limit.PerSecond = 1
+	withQuotas(t, config, func(cl *cluster) {
+		time.Sleep(40 * time.Second)
+		gate := cl.hosts["h1"].setGate("single", nil)
+		for range 2 * int(redLimit.Burst) {
+			a := cl.askWith("h1", "/one/", "Bearer red-secret")
+			assert.Assert(t, a.Outcome == NotRun && a.Cause == CausePanic && a.RetryAfter > 0, "%+v", a)
+		}
+		assert.Equal(t, cl.hosts["h1"].InFlight(), 0)
+		cl.hosts["h1"].setGate("single", gate)
+		time.Sleep(time.Second)
+		for n := range int(redLimit.Burst) {
+			assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, Forwarded, "request %d", n)
+		}
+	})
+}
+
+// panickingWriter panics when a log line is written.
+type panickingWriter struct{}
+
+func (panickingWriter) Write([]byte) (int, error) { panic("injected by the test") }
+
+// A panic while a request is logged must not replace its answer.
+func TestPanicOfTheLogDoesNotReplaceTheAnswer(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		cl.hosts["host1"].requestLog = newRequestLog(zerolog.New(panickingWriter{}), 1000)
+		assert.Equal(t, cl.ask("host1", "/one/x").Outcome, Forwarded)
+		assert.Equal(t, cl.hosts["host1"].InFlight(), 0)
+	})
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -7,7 +7,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
-	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
@@ -17,13 +16,19 @@
 	good, bad zerolog.Logger
 	// servers logs changes in the state of servers.
 	servers zerolog.Logger
+	// faults logs panics.
+	faults zerolog.Logger
 }
 
-// serverLinesPerSecond limits the log lines of one process about servers.
-const serverLinesPerSecond = 10
+const (
+	// serverLinesPerSecond limits the log lines of one process about servers.
+	serverLinesPerSecond = 10
+	// faultLinesPerSecond limits the log lines of one process about panics, which hold a stack trace.
+	faultLinesPerSecond = 10
+)
 
 func newRequestLog(log zerolog.Logger, perSecond int) *requestLog {
-	return &requestLog{good: obs.RateLimited(log, perSecond), bad: obs.RateLimited(log, perSecond), servers: obs.RateLimited(log, serverLinesPerSecond)}
+	return &requestLog{good: obs.RateLimited(log, perSecond), bad: obs.RateLimited(log, perSecond), servers: obs.RateLimited(log, serverLinesPerSecond), faults: obs.RateLimited(log, faultLinesPerSecond)}
 }
 
 // maxNotes limits the notes in the log line of one request.
@@ -67,6 +72,9 @@
 	t.notes = append(t.notes, fmt.Sprintf(format, args...))
 }
 
+// sent reports whether a server was sent the request, or was about to be.
+func (t *trace) sent() bool { return t.first+t.retries+t.hedges > 0 }
+
 // gateName says which gate decided on admission: that of this host, or the one of all hosts.
 func (t *trace) gateName() string {
 	if t.shared {
@@ -90,7 +98,8 @@
 	log.Info().Bytes("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
 }
 
-func (g *Gateway) logRequest(r *Request, v *control.View, routeName string, a Answer, t *trace, elapsed, objective time.Duration) {
+func (g *Gateway) logRequest(s *requestState, a Answer, elapsed time.Duration) {
+	r, v, t, objective := s.request, s.view, s.trace, s.objective
 	good := (a.Outcome == Forwarded && a.Reply.OK() || a.Outcome == Gathered && a.Gathered.Missing == 0) && elapsed <= objective
 	log := &g.requestLog.bad
 	if good {
@@ -100,12 +109,12 @@
 	if e == nil {
 		return
 	}
-	e = e.Str("request", r.ID).Str("route", routeName).Uint32("rank", t.rank).Dur("objective", objective).Str("outcome", a.Outcome.String()).Dur("elapsed", elapsed).Dur("timeout", r.Timeout)
+	e = e.Str("request", r.ID).Str("route", a.Route).Uint32("rank", t.rank).Dur("objective", objective).Str("outcome", a.Outcome.String()).Dur("elapsed", elapsed).Dur("timeout", r.Timeout)
 	if r.Team != "" {
 		e = e.Str("team", r.Team)
 	}
 	if v.Table != nil {
-		e = e.Uint64("version", v.Table.Version()).Dur("version_age", time.Since(v.TableSince))
+		e = e.Uint64("version", a.Version).Dur("version_age", time.Since(v.TableSince))
 	}
 	if !v.StoreLost.IsZero() {
 		e = e.Dur("store_lost", time.Since(v.StoreLost))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,10 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/mallowgap/mallowgap/fanout"
 	"github.com/mallowgap/mallowgap/internal/control"
 	"github.com/mallowgap/mallowgap/route"
 	"github.com/mallowgap/mallowgap/scarcity"
+	"github.com/mallowgap/mallowgap/team"
 )
 
 const (
@@ -36,31 +39,90 @@
 	maxStartupWaiters = 500
 )
 
-// Serve serves one request of a caller. ctx is done when the caller has disconnected.
+// requestState is what is known of a request while it is served.
+type requestState struct {
+	request *Request
+	// view is empty until the configuration in force is looked up, and so are route and objective
+	// until the route is known.
+	view      *control.View
+	route     string
+	objective time.Duration
+	trace     *trace
+}
+
+// version returns the version of the configuration by which the request is served, or 0.
+func (s *requestState) version() uint64 {
+	if s.view.Table == nil {
+		return 0
+	}
+	return s.view.Table.Version()
+}
+
+// addFields adds to the log line of a panic where it met the request.
+func (s *requestState) addFields(e *zerolog.Event) *zerolog.Event {
+	return e.Str("route", s.route).Uint64("version", s.version()).Dur("elapsed", time.Since(s.request.Arrived)).Bool("sent", s.trace.sent())
+}
+
+// Serve serves one request of a caller. It returns an answer whatever happens, a panic included. ctx
+// is done when the connection of the caller has ended.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	v := g.awaitView(ctx, r)
-	t := &trace{}
-	name, objective := "", time.Duration(0)
-	entry, answer := matchRoute(v, r)
+	s := &requestState{request: r, view: &control.View{}, trace: &trace{}}
+	var answer Answer
+	err := g.recoverPanicWith("request of a caller", r.ID, s.addFields, func() error {
+		answer = g.serve(ctx, s)
+		return nil
+	})
+	if err != nil {
+		answer = s.panicAnswer(err)
+	}
+	answer.Route, answer.Version = s.route, s.version()
+	g.record(s, answer)
+	return answer
+}
+
+func (g *Gateway) serve(ctx context.Context, s *requestState) Answer {
+	r := s.request
+	s.view = g.awaitView(ctx, r)
+	entry, answer := matchRoute(s.view, r)
 	if entry != nil {
-		name, objective = entry.Name, entry.EffectiveObjective()
-		answer = g.serveRoute(ctx, v, entry, r, t)
+		s.route, s.objective = entry.Name, entry.EffectiveObjective()
+		answer = g.serveRoute(ctx, s.view, entry, r, s.trace)
 	}
-	elapsed := time.Since(r.Arrived)
 	if answer.Cause == CauseNoConfig && g.control.FleetStarting() {
-		answer.RetryAfter = max(minRetryAfter, time.Duration(fleetStartReturn*float64(r.Timeout-elapsed)))
+		answer.RetryAfter = max(minRetryAfter, time.Duration(fleetStartReturn*float64(r.Timeout-time.Since(r.Arrived))))
 	}
-	countAnswer(name, answer)
-	if r.Team != "" {
-		g.teamMetrics.count(r.Team, teamResultOf(answer), time.Now())
-	}
-	observeDuration(name, elapsed)
-	g.logRequest(r, v, name, answer, t, elapsed, objective)
 	return answer
 }
 
+// panicAnswer answers a request that a panic ended. Its value is told by the log only.
+func (s *requestState) panicAnswer(err error) Answer {
+	s.trace.note("%v", err)
+	const reason = "a fault of the program ended the request: look up its identifier in the log"
+	if !s.trace.sent() {
+		return notRun(CausePanic, reason, minRetryAfter)
+	}
+	return Answer{Outcome: Failed, Cause: CausePanic, Reason: reason}
+}
+
+// record counts and logs what became of a request. A panic meanwhile is logged, and the answer stands.
+func (g *Gateway) record(s *requestState, a Answer) {
+	r, elapsed := s.request, time.Since(s.request.Arrived)
+	_ = g.recoverPanicWith("metrics of a request", r.ID, s.addFields, func() error {
+		countAnswer(a.Route, a)
+		if r.Team != "" {
+			g.teamMetrics.count(r.Team, teamResultOf(a), time.Now())
+		}
+		observeDuration(a.Route, elapsed)
+		return nil
+	})
+	_ = g.recoverPanicWith("log line of a request", r.ID, s.addFields, func() error {
+		g.logRequest(s, a, elapsed)
+		return nil
+	})
+}
+
 // awaitView returns the view in force. On a host that has just started or resumed from a
 // suspension, it waits up to startupWait for the state to be known or confirmed, and up to
 // fleetStartShare of the caller's timeout if no host knows the configuration.
@@ -150,7 +212,26 @@
 	if refused, ok := q.takeQuota(ctx, member); !ok {
 		return refused
 	}
-	return q.settleQuota(member, q.serveAllowed(ctx))
+	return q.serveCounted(ctx, member)
+}
+
+// serveCounted serves a request that was taken from the limit of its team. It gives the request back
+// if no server ran it, and cancels its calls if it panics.
+func (q *query) serveCounted(ctx context.Context, member *team.Team) Answer {
+	a, panicked := Answer{Outcome: Failed}, true
+	defer func() {
+		if panicked && q.stopCalls != nil {
+			q.stopCalls()
+		}
+		settled := a
+		if !q.trace.sent() {
+			settled.Outcome = NotRun
+		}
+		q.settleQuota(member, settled)
+	}()
+	a = q.serveAllowed(ctx)
+	panicked = false
+	return a
 }
 
 // serveAllowed serves a request that is within the limit of its team.
