--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -98,6 +98,9 @@
 	CausePanic Cause = "panic"
 )
 
+// FaultReason is what callers are told of a panic.
+const FaultReason = "a fault of the program ended the request: look up its identifier in the log"
+
 // Answer is the answer to a caller.
 type Answer struct {
 	Outcome Outcome
--- a/internal/gateway/contain.go
+++ b/internal/gateway/contain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"runtime/debug"
 
@@ -56,3 +57,15 @@
 	e := g.requestLog.faults.Error().Str("request", request).Str("work", work).Str("fault", fmt.Sprint(value)).Bytes("stack", stack[:min(len(stack), maxStackBytes)])
 	addFields(e).Msg("recovered from a panic: the operation fails, the gateway continues")
 }
+
+// ReportPanic logs and counts a panic outside Serve, while a request was decoded or its answer
+// encoded. It must be called by the deferred function that recovers. answered is false if the caller
+// got no whole answer.
+func (g *Gateway) ReportPanic(ctx context.Context, request string, value any, answered bool) {
+	if !answered {
+		countUnanswered(unansweredPanic)
+	}
+	g.logPanic("response to a caller", request, value, func(e *zerolog.Event) *zerolog.Event {
+		return e.Bool("answered", answered).Uint64("version", (&requestState{view: g.control.View()}).version()).Str("end", describeEnd(ctx))
+	})
+}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -163,3 +163,20 @@
 		assert.Equal(t, cl.hosts["host1"].InFlight(), 0)
 	})
 }
+
+// A response that a panic cut must be counted and told with the identifier of its request.
+func TestPanicThatCutsAResponseIsCounted(t *testing.T) {
+	withCluster(t, shardedConfig(7, 1), nil, oneHost, func(cl *cluster) {
+		var log strings.Builder
+		g := cl.hosts["host1"]
+		g.requestLog = newRequestLog(zerolog.New(&log), 1000)
+		before := unanswered[unansweredPanic].Get()
+		g.ReportPanic(cl.ctx, "r1", "broken", true)
+		assert.Equal(t, unanswered[unansweredPanic].Get(), before)
+		g.ReportPanic(cl.ctx, "r2", "broken", false)
+		assert.Equal(t, unanswered[unansweredPanic].Get(), before+1)
+		for _, want := range []string{`"request":"r2"`, `"answered":false`, `"version":7`, `"fault":"broken"`} {
+			assert.Check(t, strings.Contains(log.String(), want), "%s is not in %s", want, log.String())
+		}
+	})
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,28 @@
 	sharedLoadsTime = metrics.GetOrCreateGauge("mallowgap_shared_loads_timestamp_seconds", nil)
 )
 
+// unansweredCause is the reason why the connection of a request that was read whole was closed without
+// a whole answer.
+type unansweredCause string
+
+const (
+	// unansweredPanic: a panic cut the response.
+	unansweredPanic unansweredCause = "panic"
+)
+
+// unanswered counts the requests that were read whole and got no whole answer.
+var unanswered = newUnansweredCounters(unansweredPanic)
+
+func newUnansweredCounters(causes ...unansweredCause) map[unansweredCause]*metrics.Counter {
+	counters := map[unansweredCause]*metrics.Counter{}
+	for _, cause := range causes {
+		counters[cause] = metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_requests_unanswered_total{cause=%q}", cause))
+	}
+	return counters
+}
+
+func countUnanswered(cause unansweredCause) { unanswered[cause].Inc() }
+
 func countAnswer(route string, a Answer) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_requests_total{route=%q,outcome=%q,cause=%q}", route, a.Outcome, a.Cause)).Inc()
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -83,6 +84,15 @@
 	return "own"
 }
 
+// describeEnd describes why the connection of a caller ended, as far as its context tells. It returns
+// "" if the connection has not ended.
+func describeEnd(ctx context.Context) string {
+	if ctx.Err() == nil {
+		return ""
+	}
+	return context.Cause(ctx).Error()
+}
+
 // logGather logs the calls that this host made for a peer.
 func (g *Gateway) logGather(m *relaypb.GatherRequest, results []*relaypb.CallResult, elapsed time.Duration) {
 	log := &g.requestLog.good
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -99,11 +99,10 @@
 // panicAnswer answers a request that a panic ended. Its value is told by the log only.
 func (s *requestState) panicAnswer(err error) Answer {
 	s.trace.note("%v", err)
-	const reason = "a fault of the program ended the request: look up its identifier in the log"
 	if !s.trace.sent() {
-		return notRun(CausePanic, reason, minRetryAfter)
+		return notRun(CausePanic, FaultReason, minRetryAfter)
 	}
-	return Answer{Outcome: Failed, Cause: CausePanic, Reason: reason}
+	return Answer{Outcome: Failed, Cause: CausePanic, Reason: FaultReason}
 }
 
 // record counts and logs what became of a request. A panic meanwhile is logged, and the answer stands.
