--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -94,8 +94,13 @@
 	CauseSuspect Cause = "suspect"
 	// CauseCallerLeft: the caller closed its connection.
 	CauseCallerLeft Cause = "caller_left"
+	// CausePanic: a panic, a fault of the program, ended the request.
+	CausePanic Cause = "panic"
 )
 
+// FaultReason is what callers are told of a panic.
+const FaultReason = "a fault of the program ended the request: look up its identifier in the log"
+
 // Answer is the answer to a caller.
 type Answer struct {
 	Outcome Outcome
@@ -108,6 +113,10 @@
 	Reply *Reply
 	// Gathered is set if the outcome is Gathered.
 	Gathered fanout.Answer
+	// Route and Version are the route and the version of the configuration by which the request was
+	// served, if they are known.
+	Route   string
+	Version uint64
 }
 
 func notRun(cause Cause, reason string, retryAfter time.Duration) Answer {
