A second reply to a request to one server changes nothing

What callers saw: a whole request whose connection was closed without an answer, 0.17 s after two servers had answered it.

Cause: a request to one server is a fanout.Query with one shard and no records (Top 0). Offer takes a block that overlaps what is covered through replaceOverlapping, and withValidFloor then reads the smallest of the records: records[-16:] of none. A second reply is only offered if it waits in the channel beside the first when the goroutine of the request runs, since the first one ends the request: a hedged request, both servers of which answer within the time for which the host is busy. The panic is one of the goroutine of net/http, which closes the connection.

Ruled out: a context that ends (no line of a caller that left, no idle connection involved), an end of the process (no start in the record, no alert).

Change: a block whose shards are all covered adds nothing, before anything is merged; a query without records has no floor that could be invalid.

TestFloorWithoutRecordsIsIgnored panicked before: the same arithmetic by another way, a floor in the reply of a relay.

--- a/fanout/block.go
+++ b/fanout/block.go
@@ -18,9 +18,13 @@
 // Offer adds a block to the answer if that increases coverage, and reports
 // whether it did. Blocks that overlap it are replaced, and blocks whose floor
 // then exceeds the smallest record of the answer are dropped, since records
-// that they lack would belong in the answer.
+// that they lack would belong in the answer. A block whose shards are all covered, such
+// as the second reply to a hedged request, changes nothing.
 func (q *Query) Offer(b Block) bool {
-	if !q.anyCovered(b.Shards) {
+	switch covered := q.countCovered(b.Shards); covered {
+	case len(b.Shards):
+		return false
+	case 0:
 		return q.add(b)
 	}
 	return q.replaceOverlapping(b)
@@ -54,13 +58,14 @@
 	return true
 }
 
-func (q *Query) anyCovered(shards []int) bool {
+func (q *Query) countCovered(shards []int) int {
+	count := 0
 	for _, n := range shards {
 		if q.shards[n].covered {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // withoutShards returns the blocks that contain none of the shards.
@@ -161,8 +166,12 @@
 }
 
 // withValidFloor returns the blocks that lack none of the top records: those
-// without a floor, or whose floor is at most the smallest of records.
+// without a floor, or whose floor is at most the smallest of records. If an answer has no
+// records (top is 0), no block lacks any.
 func withValidFloor(top int, records []byte, blocks []Block) []Block {
+	if top <= 0 {
+		return blocks
+	}
 	var smallest []byte
 	if len(records) >= top*RecordSize {
 		smallest = records[len(records)-RecordSize:]
--- a/fanout/query_test.go
+++ b/fanout/query_test.go
@@ -58,6 +58,16 @@
 	assert.DeepEqual(t, q.Answer().Signatures, []string{"reply0"})
 }
 
+// A floor says nothing about a query without records.
+func TestFloorWithoutRecordsIsIgnored(t *testing.T) {
+	q := fanout.New(fanout.Settings{Shards: 2, MinShare: 1, MaxAttempts: 1, AnswerAt: after(1000), Deadline: after(1000)})
+	floor := []byte("0123456789abcdef")
+	assert.Assert(t, q.Offer(fanout.Block{Shards: []int{0}, Signatures: []string{"s0"}, Floor: floor}))
+	assert.Assert(t, !q.Offer(fanout.Block{Shards: []int{0}, Signatures: []string{"again"}, Floor: floor}))
+	assert.Assert(t, q.Offer(fanout.Block{Shards: []int{0, 1}, Signatures: []string{"t0", "t1"}, Floor: floor}))
+	assert.Equal(t, q.Answer().Missing, 0)
+}
+
 func TestPartialAnswerFinishesAtAnswerAt(t *testing.T) {
 	q := newQuery(2)
 	q.Sent(0, time.Time{})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,7 +45,8 @@
 TestInvariantConfiguration@config/editor.go@s/err := e.retry\(ctx, func\(\) error \{\n\t\tvar err error\n\t\tswapped, err = e.Store.CompareAndSwap\(ctx, HeadKey, version, encoded\)\n\t\treturn err\n\t\}\)\n\tif err != nil \{\n\t\treturn 0, fmt.Errorf\("%w \(%v\)", ErrOutcomeUnknown, err\)/swapped, err := e.Store.CompareAndSwap(ctx, HeadKey, version, encoded)\n\tif err != nil {\n\t\treturn 0, fmt.Errorf("%w (%v)", ErrUnavailable, err)/@a lost reply counts as a refused write
 TestInvariantConfiguration@config/editor.go@s/(return 0, fmt.Errorf\("%w \(%v\)", ErrOutcomeUnknown, err\)\n\t\}\n)\tif revision, ok := acceptedRevision\(head, changeID\); ok \{\n\t\treturn revision, nil\n\t\}\n/$1/@an accepted change is reported as a conflict
 TestHolderNeverGoesBack@route/table.go@s/config.Version <= h.table.Version\(\)/config.Version == h.table.Version()/@an older configuration of the platform replaces a newer one
-TestAnswersAreTrue@fanout/block.go@s/if !q.anyCovered\(b.Shards\) \{/if true {/@an answer contains a shard twice
+TestAnswersAreTrue@fanout/block.go@s/return q.replaceOverlapping\(b\)/return q.add(b)/@an answer contains a shard twice
+TestFloorWithoutRecordsIsIgnored@fanout/block.go@s/if top <= 0 \{/if top < 0 {/@a reply with a floor to a request without records panics
 TestFloorLeavesOutWhatCannotCount@fanout/block.go@s/blocks := dropInvalidFloors\(q.settings.Top, (.*)\)\n/blocks := $1\n/@a block with an invalid floor is counted
 TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if r.storeDown \|\| now.Before\(r.graceUntil\) \{\n\t\te.lapsed/if false {\n\t\te.lapsed/@entries that expire during an outage are removed at once
 TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.firstCounted\[need.Shard\] \{/if kind == firstAttempt {/@attempts that reach no server earn retry budget
