The end of a caller's connection is answered all the same

What callers saw: the connection closed with no answer as soon as net/http ended the context of the request. It does so at any end of its read in the background: a reset, but also an end of file of a caller that only closed its sending side, and a deadline.

The reason in the line of the request has the cause of the context instead of the claim that the caller closed its connection. A request whose connection has ended before it is taken from the limit of its team is not sent at all, and one that was not sent is given back.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -32,7 +32,8 @@
 	Failed
 	// TimedOut: the time limit expired; the request may have run.
 	TimedOut
-	// CallerLeft: the caller has disconnected.
+	// CallerLeft: the connection of the caller ended before the request was served. The caller may still
+	// read, so it is answered all the same.
 	CallerLeft
 )
 
@@ -92,7 +93,7 @@
 	// CauseSuspect: servers crashed when they ran the request, and the trial by another query was not
 	// decided in time.
 	CauseSuspect Cause = "suspect"
-	// CauseCallerLeft: the caller closed its connection.
+	// CauseCallerLeft: the connection of the caller ended.
 	CauseCallerLeft Cause = "caller_left"
 	// CausePanic: a panic, a fault of the program, ended the request.
 	CausePanic Cause = "panic"
@@ -107,8 +108,12 @@
 	Cause   Cause
 	// Reason says why the request was not served, or not completely.
 	Reason string
-	// RetryAfter is when to retry a request that was not run or is over the limit of its team.
+	// RetryAfter is when to retry a request that was not run, or not sent, or is over the limit of its
+	// team.
 	RetryAfter time.Duration
+	// Sent reports, if the outcome is CallerLeft, that a server may have been sent the request. If not,
+	// it was not run and will not be.
+	Sent bool
 	// Reply is set if the outcome is Forwarded.
 	Reply *Reply
 	// Gathered is set if the outcome is Gathered.
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -180,3 +181,28 @@
 		}
 	})
 }
+
+// The end of a caller's connection must stop the work, be answered truly and be told with its cause.
+func TestEndOfTheConnectionIsAnsweredTruly(t *testing.T) {
+	config := limitedConfig()
+	config.Teams[0].Limit.PerSecond = 1
+	withQuotas(t, config, func(cl *cluster) {
+		var log strings.Builder
+		g := cl.hosts["h1"]
+		g.requestLog = newRequestLog(zerolog.New(zerolog.SyncWriter(&log)), 1000)
+		time.Sleep(40 * time.Second)
+		ctx, end := context.WithCancelCause(cl.ctx)
+		time.AfterFunc(leafServiceTime/2, func() { end(errors.New("connection reset by the test")) })
+		a := g.Serve(ctx, cl.requestWith("/one/", "Bearer red-secret"))
+		assert.Assert(t, a.Outcome == CallerLeft && a.Sent && a.RetryAfter == 0, "%+v", a)
+		assert.Assert(t, strings.Contains(log.String(), "connection reset by the test"), log.String())
+		arrivals := cl.backends.arrivals("single")
+		for range 2 * int(redLimit.Burst) {
+			a = g.Serve(ctx, cl.requestWith("/one/", "Bearer red-secret"))
+			assert.Assert(t, a.Outcome == CallerLeft && !a.Sent && a.RetryAfter > 0, "%+v", a)
+		}
+		assert.Equal(t, cl.backends.arrivals("single"), arrivals, "nothing may be sent for a caller that has left")
+		time.Sleep(time.Second)
+		assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, Forwarded, "what was not sent must not count against the limit")
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,6 +90,12 @@
 		s.route, s.objective = entry.Name, entry.EffectiveObjective()
 		answer = g.serveRoute(ctx, s.view, entry, r, s.trace)
 	}
+	if answer.Outcome == CallerLeft {
+		answer.Reason = "the connection of the caller ended before the answer: " + describeEnd(ctx)
+		if answer.Sent = s.trace.sent(); !answer.Sent {
+			answer.RetryAfter = minRetryAfter
+		}
+	}
 	if answer.Cause == CauseNoConfig && g.control.FleetStarting() {
 		answer.RetryAfter = max(minRetryAfter, time.Duration(fleetStartReturn*float64(r.Timeout-time.Since(r.Arrived))))
 	}
@@ -208,6 +214,9 @@
 	if q.lacksServers(time.Now()) {
 		return q.absentAnswer(time.Now())
 	}
+	if ctx.Err() != nil {
+		return Answer{Outcome: CallerLeft, Cause: CauseCallerLeft}
+	}
 	if refused, ok := q.takeQuota(ctx, member); !ok {
 		return refused
 	}
