An answer that could not be written is counted and logged

What callers saw: nothing, and neither did the operators. The error of Write was dropped, and net/http keeps a short answer in its buffer until the handler has returned, where it drops the error of sending it.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -206,3 +206,23 @@
 		assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, Forwarded, "what was not sent must not count against the limit")
 	})
 }
+
+// An answer that could not be written must be counted by its cause and told from its identifier.
+func TestUnansweredRequestIsCounted(t *testing.T) {
+	withCluster(t, shardedConfig(7, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		var log strings.Builder
+		g := cl.hosts["host1"]
+		r := cl.newRequest("/one/x")
+		a := g.Serve(cl.ctx, r)
+		g.requestLog = newRequestLog(zerolog.New(&log), 1000)
+		for outcome, cause := range map[Outcome]unansweredCause{Forwarded: unansweredWriteFailed, CallerLeft: unansweredCallerLeft} {
+			before := unanswered[cause].Get()
+			a.Outcome = outcome
+			g.ReportUnanswered(cl.ctx, r, a, errors.New("broken pipe"))
+			assert.Equal(t, unanswered[cause].Get(), before+1)
+			for _, want := range []string{r.ID, outcome.String(), string(cause), "broken pipe", `"route":"one"`, `"version":7`, `"elapsed"`} {
+				assert.Check(t, strings.Contains(log.String(), want), "%s is not in %s", want, log.String())
+			}
+		}
+	})
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,12 +25,16 @@
 type unansweredCause string
 
 const (
+	// unansweredCallerLeft: the connection ended before the request was served.
+	unansweredCallerLeft unansweredCause = "caller_left"
+	// unansweredWriteFailed: the connection ended while the answer was written.
+	unansweredWriteFailed unansweredCause = "write_failed"
 	// unansweredPanic: a panic cut the response.
 	unansweredPanic unansweredCause = "panic"
 )
 
 // unanswered counts the requests that were read whole and got no whole answer.
-var unanswered = newUnansweredCounters(unansweredPanic)
+var unanswered = newUnansweredCounters(unansweredCallerLeft, unansweredWriteFailed, unansweredPanic)
 
 func newUnansweredCounters(causes ...unansweredCause) map[unansweredCause]*metrics.Counter {
 	counters := map[unansweredCause]*metrics.Counter{}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -168,3 +168,14 @@
 	}
 	e.Msg("request")
 }
+
+// ReportUnanswered logs and counts an answer that could not be written to its caller.
+func (g *Gateway) ReportUnanswered(ctx context.Context, r *Request, a Answer, err error) {
+	cause := unansweredWriteFailed
+	if a.Outcome == CallerLeft {
+		cause = unansweredCallerLeft
+	}
+	countUnanswered(cause)
+	g.requestLog.bad.Info().Str("request", r.ID).Str("route", a.Route).Uint64("version", a.Version).Str("outcome", a.Outcome.String()).Str("cause", string(cause)).
+		AnErr("error", err).Str("end", describeEnd(ctx)).Dur("elapsed", time.Since(r.Arrived)).Msg("answer could not be written")
+}
