Errors of the HTTP servers are counted lines of the log

What operators saw: text of net/http on standard error, without a counter, when a panic or a failed accept ended a connection.

Change: ErrorLog of the three servers of a gateway writes structured lines, at most 5 a second, and counts all of them in mallowgap_http_server_errors_total.

--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"log"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +26,8 @@
 const (
 	// serverLinesPerSecond limits the log lines of one process about servers.
 	serverLinesPerSecond = 10
+	// httpErrorLinesPerSecond limits the log lines of one process about errors of its HTTP servers.
+	httpErrorLinesPerSecond = 5
 	// faultLinesPerSecond limits the log lines of one process about panics, which hold a stack trace.
 	faultLinesPerSecond = 10
 )
@@ -32,6 +36,22 @@
 	return &requestLog{good: obs.RateLimited(log, perSecond), bad: obs.RateLimited(log, perSecond), servers: obs.RateLimited(log, serverLinesPerSecond), faults: obs.RateLimited(log, faultLinesPerSecond)}
 }
 
+// newHTTPErrorLog returns the log of the errors of HTTP servers.
+func newHTTPErrorLog(lines zerolog.Logger) *log.Logger {
+	return log.New(httpErrorWriter{obs.RateLimited(lines, httpErrorLinesPerSecond)}, "", 0)
+}
+
+// httpErrorWriter logs and counts each message that is written to it.
+type httpErrorWriter struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (w httpErrorWriter) Write(message []byte) (int, error) {
+	httpServerErrors.Inc()
+	text := strings.TrimSpace(string(message[:min(len(message), maxStackBytes)]))
+	w.log.Error().Str("error", text).Msg("error of an HTTP server")
+	return len(message), nil
+}
+
 // maxNotes limits the notes in the log line of one request.
 const maxNotes = 24
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -109,6 +109,8 @@
 	}
 	s.ready = &http.Server{Handler: h.Ready, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
 	s.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
+	errorLog := newHTTPErrorLog(g.log)
+	s.callers.ErrorLog, s.ready.ErrorLog, s.metrics.ErrorLog = errorLog, errorLog, errorLog
 	mux := drpcmux.New()
 	if err := relaypb.DRPCRegisterRelay(mux, g); err != nil {
 		return nil, fmt.Errorf("register the relay protocol: %w", err)
