explain shows panics and answers that could not be written

What operators saw: the history of a request printed a stack trace as one field, and the summary counted a request as in time whose answer could not be written.

Change: the history prints a stack frame by frame below its line. The summary ends with a table of the lines about panics, answers that could not be written and errors of HTTP servers, if there are any.

Verified: the two new tests failed before; go test ./internal/explain passes.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -207,13 +207,18 @@
 // commonFields are the fields of every line; details omits them.
 var commonFields = map[string]bool{"time": true, "host": true, "message": true, "level": true, "request": true}
 
-// Write prints the history, each log line followed by its notes.
+// Write prints the history, each log line followed by its notes and its stack trace.
 func (h History) Write(w io.Writer) error {
 	for _, l := range h.Lines {
 		if _, err := fmt.Fprintf(w, "%s %s: %s%s\n", l.Time.Format("15:04:05.000"), l.Host, l.Message, l.details()); err != nil {
 			return err
 		}
 		notes, _ := l.Fields["notes"].([]any)
+		if stack := l.textField("stack"); stack != "" {
+			for frame := range strings.SplitSeq(strings.TrimSpace(stack), "\n") {
+				notes = append(notes, frame)
+			}
+		}
 		for _, note := range notes {
 			if _, err := fmt.Fprintf(w, "    %v\n", note); err != nil {
 				return err
@@ -232,7 +237,7 @@
 func (l Line) details() string {
 	var keys []string
 	for key := range l.Fields {
-		if !commonFields[key] && key != "notes" {
+		if !commonFields[key] && key != "notes" && key != "stack" {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -77,3 +77,22 @@
 	assert.NilError(t, explain.HistoryOf(lines, "r1").Write(&out))
 	assert.Equal(t, out.String(), "10:00:02.000 h1: request cause=unknown_key outcome=unauthorized\n10:00:03.000 h1: request outcome=forwarded team=red\n")
 }
+
+// The history of a request must show a panic with its stack, and how its connection ended.
+func TestHistoryShowsFaults(t *testing.T) {
+	log := `{"host":"h1","request":"r1","work":"request of a caller","fault":"broken","stack":"goroutine 1\nmain.f()\n\tmain.go:1\n","version":3,"time":"2026-12-02T10:00:02.000Z","message":"recovered from a panic: the operation fails, the gateway continues"}
+{"host":"h1","request":"r1","outcome":"failed","cause":"panic","time":"2026-12-02T10:00:02.001Z","message":"request"}
+{"host":"h1","request":"r1","cause":"write_failed","error":"broken pipe","elapsed":12.5,"version":3,"time":"2026-12-02T10:00:02.002Z","message":"answer could not be written"}
+`
+	lines, _, err := explain.Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explain.HistoryOf(lines, "r1").Write(&out))
+	assert.Equal(t, out.String(), `10:00:02.000 h1: recovered from a panic: the operation fails, the gateway continues fault=broken version=3 work=request of a caller
+    goroutine 1
+    main.f()
+    	main.go:1
+10:00:02.001 h1: request cause=panic outcome=failed
+10:00:02.002 h1: answer could not be written cause=write_failed elapsed=12.5 error=broken pipe version=3
+`)
+}
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -39,6 +39,36 @@
 	byTime  map[time.Time]map[result]int
 	// byTeam counts requests without a team under the empty name.
 	byTeam map[string]map[result]int
+	// faults counts the lines about panics, answers that were not written and errors of HTTP servers.
+	faults map[fault]int
+}
+
+// fault identifies a row of the table of faults.
+type fault struct{ name, cause string }
+
+// Messages of the lines about faults.
+const (
+	panicMessage      = "recovered from a panic: the operation fails, the gateway continues"
+	unansweredMessage = "answer could not be written"
+	httpErrorMessage  = "error of an HTTP server"
+)
+
+// fault returns the fault that a line tells of, if any.
+func (l Line) fault() (f fault, ok bool) {
+	switch l.Message {
+	case panicMessage:
+		f = fault{"panic", l.textField("work")}
+		if answered, told := l.Fields["answered"].(bool); told && !answered {
+			f.name = "response cut by a panic"
+		}
+	case unansweredMessage:
+		f = fault{"answer not written", l.textField("cause")}
+	case httpErrorMessage:
+		f = fault{httpErrorMessage, ""}
+	default:
+		return fault{}, false
+	}
+	return f, true
 }
 
 // causeKey identifies a row of the table by cause.
@@ -51,8 +81,11 @@
 
 // Summarize builds a summary from the lines of requests.
 func Summarize(lines []Line) Summary {
-	s := Summary{byCause: map[causeKey]int{}, byTime: map[time.Time]map[result]int{}, byTeam: map[string]map[result]int{}}
+	s := Summary{byCause: map[causeKey]int{}, byTime: map[time.Time]map[result]int{}, byTeam: map[string]map[result]int{}, faults: map[fault]int{}}
 	for _, l := range lines {
+		if f, ok := l.fault(); ok {
+			s.faults[f]++
+		}
 		if l.Message != "request" {
 			continue
 		}
@@ -102,8 +135,8 @@
 	return resultInTime
 }
 
-// Write prints a table by cause, the most frequent first, a table by time, and, if there are teams,
-// a table of the busiest teams.
+// Write prints a table by cause, the most frequent first, a table by time, if there are teams, a table
+// of the busiest teams, and, if there are faults, a table of these.
 func (s Summary) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "requests\troute\trank\twhat became of them\tcause") // Flush returns any write error.
@@ -118,9 +151,23 @@
 		writeRow(t, interval.Format("15:04:05"), s.byTime[interval])
 	}
 	s.writeTeams(t)
+	s.writeFaults(t)
 	return t.Flush()
 }
 
+// writeFaults writes the table of faults, the most frequent first. It writes nothing if there are none.
+func (s Summary) writeFaults(w io.Writer) {
+	if len(s.faults) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "\nlines\tfault\tcause")
+	for _, f := range slices.SortedFunc(maps.Keys(s.faults), func(a, b fault) int {
+		return cmp.Or(cmp.Compare(s.faults[b], s.faults[a]), cmp.Compare(a.name, b.name), cmp.Compare(a.cause, b.cause))
+	}) {
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\n", s.faults[f], f.name, f.cause)
+	}
+}
+
 // writeTeams writes the table by team, beginning with the requests without a team. It writes
 // nothing if no request has a team.
 func (s Summary) writeTeams(w io.Writer) {
--- a/internal/explain/summary_test.go
+++ b/internal/explain/summary_test.go
@@ -65,3 +65,31 @@
 	}
 	assert.Assert(t, !strings.Contains(out.String(), "team19"))
 }
+
+// Panics and answers that were not written must not hide behind the results of requests.
+func TestSummaryShowsFaults(t *testing.T) {
+	log := `
+{"message":"request","request":"1","route":"q","rank":1,"outcome":"caller_left","cause":"caller_left","elapsed":50,"objective":200}
+{"message":"answer could not be written","request":"1","route":"q","outcome":"caller_left","cause":"caller_left"}
+{"message":"request","request":"2","route":"q","rank":1,"outcome":"failed","cause":"panic","elapsed":50,"objective":200}
+{"message":"recovered from a panic: the operation fails, the gateway continues","request":"2","work":"request of a caller"}
+{"message":"recovered from a panic: the operation fails, the gateway continues","request":"3","work":"request of a caller"}
+{"message":"recovered from a panic: the operation fails, the gateway continues","request":"4","work":"response to a caller","answered":false}
+{"message":"error of an HTTP server","error":"http: Accept error"}
+`
+	lines, _, err := explain.Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explain.Summarize(lines).Write(&out))
+	for _, want := range []string{
+		"1         q      1     caller left          caller_left\n1         q      1     failed               panic\n",
+		`
+lines  fault                    cause
+2      panic                    request of a caller
+1      answer not written       caller_left
+1      error of an HTTP server  
+1      response cut by a panic  response to a caller
+`} {
+		assert.Assert(t, strings.Contains(out.String(), want), "%q is not in\n%s", want, out.String())
+	}
+}
