A success without the reply of the server is a failure, not a panic

What callers saw: a closed connection, if a relay reported that a server served a request that is not a query and sent no reply of it. The log line of the request used the missing reply.

Cause: the same class as the panic of a second reply: an answer that a peer sends is taken to be complete.

Change: such an answer is a 502, as the request has run.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,6 +90,9 @@
 		s.route, s.objective = entry.Name, entry.EffectiveObjective()
 		answer = g.serveRoute(ctx, s.view, entry, r, s.trace)
 	}
+	if answer.Outcome == Forwarded && answer.Reply == nil {
+		return Answer{Outcome: Failed, Cause: CauseServerFailed, Reason: "a relay reported success without the reply of the server: run the same build on all hosts"}
+	}
 	if answer.Outcome == CallerLeft {
 		answer.Reason = "the connection of the caller ended before the answer: " + describeEnd(ctx)
 		if answer.Sent = s.trace.sent(); !answer.Sent {
