The line of a request that panicked names its servers

What operators saw: the line of such a request had no servers, so that nobody could ask them whether it ran.

Verified: TestPanicAfterARequestWasSentIsAnswered failed before, as the server was not in the line, and passes 5 times.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -117,7 +117,7 @@
 		assert.Equal(t, len(lines), 2, log.String())
 		for line, wants := range map[string][]string{
 			lines[0]: {`"stack":"goroutine`, `"fault":"runtime error`, `"route":"query"`},
-			lines[1]: {`"message":"request"`, `"outcome":"failed"`, `"cause":"panic"`, "runtime error"},
+			lines[1]: {`"message":"request"`, `"outcome":"failed"`, `"cause":"panic"`, "runtime error", "shard0@a1"},
 		} {
 			for _, want := range append(wants, fmt.Sprintf(`"request":%q`, r.ID), `"version":7`) {
 				assert.Check(t, strings.Contains(line, want), "%s is not in %s", want, line)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -231,8 +232,8 @@
 func (q *query) serveCounted(ctx context.Context, member *team.Team) Answer {
 	a, panicked := Answer{Outcome: Failed}, true
 	defer func() {
-		if panicked && q.stopCalls != nil {
-			q.stopCalls()
+		if panicked {
+			q.abort()
 		}
 		settled := a
 		if !q.trace.sent() {
@@ -245,6 +246,14 @@
 	return a
 }
 
+// abort cancels the calls of a request that panics, and tells the trace which servers were asked.
+func (q *query) abort() {
+	q.trace.servers = slices.Concat(q.tried...)
+	if q.stopCalls != nil {
+		q.stopCalls()
+	}
+}
+
 // serveAllowed serves a request that is within the limit of its team.
 func (q *query) serveAllowed(ctx context.Context) Answer {
 	if refused, ok := q.admit(time.Now()); !ok {
