--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -90,6 +91,15 @@
 		s.route, s.objective = entry.Name, entry.EffectiveObjective()
 		answer = g.serveRoute(ctx, s.view, entry, r, s.trace)
 	}
+	if answer.Outcome == Forwarded && answer.Reply == nil {
+		return Answer{Outcome: Failed, Cause: CauseServerFailed, Reason: "a relay reported success without the reply of the server: run the same build on all hosts"}
+	}
+	if answer.Outcome == CallerLeft {
+		answer.Reason = "the connection of the caller ended before the answer: " + describeEnd(ctx)
+		if answer.Sent = s.trace.sent(); !answer.Sent {
+			answer.RetryAfter = minRetryAfter
+		}
+	}
 	if answer.Cause == CauseNoConfig && g.control.FleetStarting() {
 		answer.RetryAfter = max(minRetryAfter, time.Duration(fleetStartReturn*float64(r.Timeout-time.Since(r.Arrived))))
 	}
@@ -208,6 +218,9 @@
 	if q.lacksServers(time.Now()) {
 		return q.absentAnswer(time.Now())
 	}
+	if ctx.Err() != nil {
+		return Answer{Outcome: CallerLeft, Cause: CauseCallerLeft}
+	}
 	if refused, ok := q.takeQuota(ctx, member); !ok {
 		return refused
 	}
@@ -219,8 +232,8 @@
 func (q *query) serveCounted(ctx context.Context, member *team.Team) Answer {
 	a, panicked := Answer{Outcome: Failed}, true
 	defer func() {
-		if panicked && q.stopCalls != nil {
-			q.stopCalls()
+		if panicked {
+			q.abort()
 		}
 		settled := a
 		if !q.trace.sent() {
@@ -233,6 +246,14 @@
 	return a
 }
 
+// abort cancels the calls of a request that panics, and tells the trace which servers were asked.
+func (q *query) abort() {
+	q.trace.servers = slices.Concat(q.tried...)
+	if q.stopCalls != nil {
+		q.stopCalls()
+	}
+}
+
 // serveAllowed serves a request that is within the limit of its team.
 func (q *query) serveAllowed(ctx context.Context) Answer {
 	if refused, ok := q.admit(time.Now()); !ok {
