Comments give the reasons of thresholds that the rewording dropped

Callers see no difference. The rewording of comments dropped the reason or the fault behind a few constants and rules, so that a maintainer could not tell what a change of them breaks.

Other comments of internal/gateway and platform are unchanged.

--- a/discovery/registry.go
+++ b/discovery/registry.go
@@ -8,7 +8,7 @@
 )
 
 // ReregistrationGrace is how long after an outage of the store lapsed entries are kept.
-// Servers are expected to register again within about two seconds.
+// The operators of the store state that servers register again within about two seconds.
 const ReregistrationGrace = 2200 * time.Millisecond
 
 // Server is a running server as described by its registration.
--- a/fanout/extra.go
+++ b/fanout/extra.go
@@ -4,7 +4,8 @@
 
 // Shares of the retry budget (0 to 1) that a query may use, by its progress.
 const (
-	// overdueShare applies to queries past AnswerAt.
+	// overdueShare applies to queries past AnswerAt. A much smaller share leaves more of
+	// them without any answer.
 	overdueShare = 0.85
 	// satisfiedShare applies to queries that already have MinShare of the shards.
 	satisfiedShare = 0.8
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -16,7 +16,8 @@
 
 const (
 	// recordInterval times the number of hosts is the minimum time between two writes of one
-	// host, so that all hosts together make at most 100 writes a second. minRecordInterval is
+	// host, so that all hosts together make at most 100 writes a second, a quarter of what the
+	// store accepts, even if a power loss makes many requests suspect. minRecordInterval is
 	// the lower bound of that time. The first write is immediate, so that a request that
 	// crashes servers is known everywhere within a second.
 	recordInterval    = 10 * time.Millisecond
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -13,7 +13,8 @@
 	// minRetryDelay and maxRetryDelay limit the delay before a failed store call is repeated.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
-	// retryFactor multiplies the delay after each failure.
+	// retryFactor multiplies the delay after each failure. A host that starts while the store
+	// is unreachable polls its peers before its third store call.
 	retryFactor = 4
 	// minWatchInterval is the minimum time between two watches, so that changes in quick
 	// succession share one call.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,7 +22,8 @@
 	// together are merged.
 	minReplyInterval = 4 * time.Millisecond
 	// failureReplyDelay is how long calls without a part are collected before they are reported.
-	// It is short because the requesting host can try another server at once.
+	// It is short because the requesting host can try another server at once; together with the parts
+	// they would be reported only after the soft timeout.
 	failureReplyDelay = time.Millisecond
 	// maxSlotRetries is how often a relay tries again to obtain a slot, at intervals of
 	// slotRetryDelay, before it reports the server as busy. All retries together take less time
--- a/internal/home/plan.go
+++ b/internal/home/plan.go
@@ -19,7 +19,8 @@
 	minHedgeDelay = 2 * time.Millisecond
 	// admissionOvercommit multiplies the capacity of the shard with the fewest slots,
 	// so that other shards stay busy while a slow one holds the query. It does not
-	// weaken class order: attempts queue for slots by class too.
+	// weaken class order: attempts queue for slots by class too. Smaller values leave more
+	// slots idle (docs/MEASUREMENTS.md).
 	admissionOvercommit = 5
 )
 
--- a/internal/packing/packing.go
+++ b/internal/packing/packing.go
@@ -13,7 +13,7 @@
 const separator = "\n"
 
 // maxUnpacked is the maximum size of a decompressed list in bytes. It far exceeds the largest
-// list of a query.
+// list of a query, and its memory is no burden for a host.
 const maxUnpacked = 1 << 20
 
 // ErrTooLarge is returned for data that exceeds the size limit when decompressed.
--- a/replica/set.go
+++ b/replica/set.go
@@ -16,7 +16,7 @@
 	ProbeInterval = time.Second
 	// lossPenalty is the cost of a refused or failed request, as a multiple of the latency
 	// of the fastest replica. It covers the time to notice the loss, the retry, and the
-	// retry budget that it uses.
+	// retry budget that it uses. All of these grow with the latency.
 	lossPenalty = 6
 	// toldProbeFactor is how many times less often a leaf is probed of which all hosts were told that
 	// requests run long there: one probe tells all.
@@ -136,7 +136,9 @@
 // worthWaiting reports whether a busy replica is expected to answer sooner than the replica with
 // index free, even after the requests queued for it. Other free replicas are not considered: Pick
 // found their cost to be no lower, and a request that waited for one of them would leave both it
-// and the replica with index free idle.
+// and the replica with index free idle. Otherwise, with a near replica that was once slow and a
+// fast distant one, the shard would seem busy until something is heard of the slow one, which gets
+// no requests.
 func (s *Set) worthWaiting(free int, now time.Time, waiting int, exclude uint64) bool {
 	latency := s.Expected(free, now)
 	if latency <= minOutlierLatency {
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -9,7 +9,7 @@
 
 const (
 	// slowFactor is how many times longer than the median shard of a query a shard must
-	// take to be scarce.
+	// take to be scarce. It is the factor from which package replica considers a server slow.
 	slowFactor = 3
 	// minSlowShare is the service time, as a share of the objective, up to which no shard is
 	// scarce: its parts arrive in time, even if the other shards are much faster.
