A relay's result that holds no reply to forward fails the call

A relay that reports success of a request to one server without the server's reply, or with a reply whose status is not that of a final response (0, 1xx, above 999), was believed. The answer then had no reply, or a status with which net/http's WriteHeader panics: the caller's connection was closed without an answer, or, since panics are contained, the caller got a fault of the program for a request that another server could have answered.

Such a result now counts as a failed call that tells nothing about the server, so that an idempotent request is sent to another server, and others get 502.

Ruled out: results with an index that is not asked, an index twice, more or fewer results than calls, malformed packing, floors, lost streams; the tests have them.

--- a/internal/gateway/relaywire.go
+++ b/internal/gateway/relaywire.go
@@ -12,6 +12,9 @@
 // Lists of server identifiers and signatures make up most of the traffic between hosts. They are
 // packed only if the receiver supports it, so that hosts of two versions interoperate.
 
+// maxStatus is the greatest status that HTTP/1.1 can express.
+const maxStatus = 999
+
 // errSignatureCount reports packed signatures that do not match the parts.
 var errSignatureCount = errors.New("the number of packed signatures differs from the number of parts")
 
@@ -41,6 +44,9 @@
 	return &Reply{Status: int(r.GetStatus()), Header: decodeHeader(r.GetHeaders()), Body: r.GetBody(), Signature: signature}
 }
 
+// isFinalStatus reports whether a status is that of a final HTTP response, and can be sent.
+func isFinalStatus(status uint32) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // setServerIDs sets the servers of a request, packed if packs is set and packing is possible.
 func setServerIDs(m *relaypb.GatherRequest, ids []string, packs bool) {
 	if packs {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -330,6 +330,9 @@
 			evidence = callFailed // Other hosts could not reach it either: the relay is nearest.
 		}
 	}
+	if err := rc.checkReply(r); err != nil {
+		out.outcome, out.reply, out.reason, evidence = relaypb.Outcome_FAILED, nil, err.Error(), callInconclusive
+	}
 	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
 	out.load = Load{Known: evidence == callServed || evidence == callRefused, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
 	change := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: serverTime(out, atServer), load: out.load, absent: out.absent || out.serverCrashed}, now)
@@ -340,10 +343,27 @@
 		rc.query.gateway.latency.observe(latencyKey{name, true}, elapsed)
 		rc.query.gateway.latency.observe(latencyKey{name, false}, atServer)
 	}
-	countAttempt(a.kind, r.GetOutcome())
+	countAttempt(a.kind, out.outcome)
 	return out
 }
 
+var (
+	errNoReply = errors.New("the relay reported success without the reply of the server: upgrade the relay")
+	errStatus  = errors.New("the relay returned a reply without the status of a final response: upgrade the relay")
+)
+
+// checkReply returns an error if a result lacks the reply of the server although it must hold it, or
+// holds one that cannot be sent to the caller.
+func (rc *relayCall) checkReply(r *relaypb.CallResult) error {
+	switch reply := r.GetReply(); {
+	case reply == nil && r.GetOutcome() == relaypb.Outcome_PART && rc.query.entry.Query == nil:
+		return errNoReply
+	case reply != nil && !isFinalStatus(reply.GetStatus()):
+		return errStatus
+	}
+	return nil
+}
+
 // failPending fails the attempts for which the relay returned no result.
 func (rc *relayCall) failPending(err error, canceled bool, now time.Time) {
 	if rc.pending == 0 {
