A relay's result with an outcome that is not known here fails the call

A relay of a later build may return an outcome that this build does not know. Its result counted as served by the server, the counter of attempts by outcome was nil, and its panic was contained by the call of the relay. The result had been marked as handled and never reached the query, so the caller waited until its timeout and got 504, though another server could have been asked.

The outcome is checked with the rest of the result: the call fails and tells nothing about the server.

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/fanout"
@@ -601,3 +603,19 @@
 	slices.Sort(names)
 	return names
 }
+
+// A call must fail at once if its relay returns an outcome that this build does not know, as one of a
+// later build may: handling it panicked, and the request waited until its timeout.
+func TestUnknownOutcomeOfARelayFailsTheCall(t *testing.T) {
+	withAnsweredCluster(t, func(cl *cluster) {
+		for _, g := range cl.hosts {
+			g.adapters.Peers = &rewritingPeers{cl.peers, relayFailures["an unknown outcome"]}
+		}
+		before, panics := cl.peers.gathers.Load(), panicsRecovered.Get()
+		for _, s := range cl.askEverywhere(cl.ctx, func() {}) {
+			assert.Assert(cl.t, s.answer.Outcome != TimedOut && s.took < answeredTimeout/2, "%s at %s after %v: %+v", s.path, s.host, s.took, s.answer)
+		}
+		assert.Assert(cl.t, cl.peers.gathers.Load() > before, "no request was relayed")
+		assert.Equal(cl.t, panicsRecovered.Get(), panics)
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -330,7 +330,7 @@
 			evidence = callFailed // Other hosts could not reach it either: the relay is nearest.
 		}
 	}
-	if err := rc.checkReply(r); err != nil {
+	if err := rc.checkResult(r); err != nil {
 		out.outcome, out.reply, out.reason, evidence = relaypb.Outcome_FAILED, nil, err.Error(), callInconclusive
 	}
 	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
@@ -348,13 +348,17 @@
 }
 
 var (
+	errOutcome = errors.New("the relay returned an outcome that is not known here: upgrade this host")
 	errNoReply = errors.New("the relay reported success without the reply of the server: upgrade the relay")
 	errStatus  = errors.New("the relay returned a reply without the status of a final response: upgrade the relay")
 )
 
-// checkReply returns an error if a result lacks the reply of the server although it must hold it, or
-// holds one that cannot be sent to the caller.
-func (rc *relayCall) checkReply(r *relaypb.CallResult) error {
+// checkResult returns an error if a result has an unknown outcome, lacks the reply of the server
+// although it must hold it, or holds one that cannot be sent to the caller.
+func (rc *relayCall) checkResult(r *relaypb.CallResult) error {
+	if _, known := relaypb.Outcome_name[int32(r.GetOutcome())]; !known {
+		return errOutcome
+	}
 	switch reply := r.GetReply(); {
 	case reply == nil && r.GetOutcome() == relaypb.Outcome_PART && rc.query.entry.Query == nil:
 		return errNoReply
