A panic in a goroutine of a call ends the call, not the process

The goroutines that call a server or a relay, the timer of a silent relay, and at a relay the goroutine of each call were recovered only in part: a panic while a slot was taken, while a call of a relay without a result was ended, or while an attempt was counted ended the process, and with it the connections of all callers of the host. A panic in the handling of one result was recovered, but the results that were handled before it in the same reply never reached the query, which waited for them until its timeout.

Each of these parts now runs in recoverPanic, and the attempt fails: at a relay with nothing sent if no slot was taken. A query gets one result for each attempt whatever happens. Only a panic of the call itself makes the relay suspect no more: it is not the relay's fault.

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -619,3 +619,53 @@
 		assert.Equal(cl.t, panicsRecovered.Get(), panics)
 	})
 }
+
+// A panic in a goroutine of a call must end only that call. It ended the process, with the connections
+// of all callers, or left the call running until the request's timeout.
+func TestPanicInAGoroutineOfACallEndsOnlyTheCall(t *testing.T) {
+	hosts := threeRegions[:2]
+	servers := append(serversOf([]string{"shard0", "shard1", "single"}, "b1"), serversOf([]string{"shard1"}, "a1")...)
+	// breakGroup makes every use of the servers of a service by a host panic.
+	breakGroup := func(cl *cluster, host, service string) {
+		g := cl.hosts[host].fleet.group(service)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.set = nil
+	}
+	config := shardedConfig(1, 2)
+	config.Services[0].MaxConns = 1 // host1 passes requests to one server on.
+	for name, test := range map[string]struct {
+		path    string
+		arrange func(cl *cluster)
+		want    Outcome
+	}{
+		"a relay takes a slot":        {"/q/x", func(cl *cluster) { breakGroup(cl, "host2", "shard0") }, Gathered},
+		"a relay takes its only slot": {"/once/x", func(cl *cluster) { breakGroup(cl, "host2", "single") }, NotRun},
+		"a relay's result is handled": {"/once/x", func(cl *cluster) {
+			cl.hosts["host1"].adapters.Peers = &rewritingPeers{cl.peers, rewriting(func(*relaypb.GatherReply) { breakGroup(cl, "host1", "single") })}
+		}, Failed},
+		"a lost call of a relay is ended": {"/once/x", func(cl *cluster) {
+			cl.hosts["host1"].adapters.Peers = &rewritingPeers{cl.peers, func(context.Context, deliver, func(deliver) error) error {
+				breakGroup(cl, "host1", "single")
+				return errCut
+			}}
+		}, Failed},
+		"a call is counted": {"/q/x", func(cl *cluster) {
+			counters := attemptCounters[firstAttempt]
+			attemptCounters[firstAttempt] = nil
+			cl.t.Cleanup(func() { attemptCounters[firstAttempt] = counters })
+		}, Gathered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, config, servers, hosts, func(cl *cluster) {
+				time.Sleep(2 * time.Second)
+				before := panicsRecovered.Get()
+				test.arrange(cl)
+				s := serveRecovered("host1", test.path, func() Answer { return cl.ask("host1", test.path) })
+				assert.Assert(cl.t, s.panicked == nil && s.answer.Cause != CausePanic, "%+v", s)
+				assert.Equal(cl.t, s.answer.Outcome, test.want, "%+v", s)
+				assert.Assert(cl.t, panicsRecovered.Get() > before, "nothing panicked")
+			})
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,7 +30,10 @@
 	maxSlotRetries = 4
 )
 
-var errSuspended = errors.New("the call timed out while this machine was suspended")
+var (
+	errSuspended     = errors.New("the call timed out while this machine was suspended")
+	errUnknownServer = errors.New("the relay does not know the server")
+)
 
 // Gather implements the relay protocol. It calls the servers that the request names and merges
 // their parts. It does not choose servers and does not repeat calls.
@@ -239,11 +242,15 @@
 
 // callForPeer calls one server for a peer.
 func (g *Gateway) callForPeer(ctx context.Context, id string, r *Request, timeout time.Duration, timeBudget replica.TimeBudget, freshConn bool) result {
-	b, servers := g.findServer(id)
-	if b == nil {
-		return result{outcome: relaypb.Outcome_NOT_SENT, reason: "the relay does not know the server"}
-	}
-	c, err := servers.takeSlotWithRetry(ctx, b, timeBudget)
+	var c *call
+	err := g.recoverPanic("slot of a relayed call", r.ID, func() (err error) {
+		b, servers := g.findServer(id)
+		if b == nil {
+			return errUnknownServer
+		}
+		c, err = servers.takeSlotWithRetry(ctx, b, timeBudget)
+		return err
+	})
 	if err != nil {
 		out := result{outcome: relaypb.Outcome_NOT_SENT, reason: err.Error()}
 		var late *tooLateError
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,10 +23,13 @@
 		if r.outcome == relaypb.Outcome_PART && q.entry.Query != nil {
 			e.records = r.reply.Body
 		}
-		if r.outcome == relaypb.Outcome_PART {
-			q.gateway.latency.observe(latencyKey{q.entry.Name, false}, r.elapsed)
-		}
-		countAttempt(a.kind, r.outcome)
+		_ = q.gateway.recoverPanic("metrics of a call", q.request.ID, func() error {
+			if r.outcome == relaypb.Outcome_PART {
+				q.gateway.latency.observe(latencyKey{q.entry.Name, false}, r.elapsed)
+			}
+			countAttempt(a.kind, r.outcome)
+			return nil
+		})
 		q.events <- e
 	}()
 }
@@ -202,7 +205,7 @@
 		q.noteSent(a, now, true)
 	}
 	q.trace.relayed += len(attempts)
-	go q.gateway.callRelay(ctx, request, &relayCall{query: q, relay: relay, attempts: attempts, pending: len(attempts), floor: request.GetFloor()})
+	go q.gateway.callRelay(ctx, request, &relayCall{query: q, relay: relay, attempts: attempts, done: make([]bool, len(attempts)), pending: len(attempts), floor: request.GetFloor()})
 }
 
 func (q *query) relayRequest(relay control.Host, attempts []attempt, now time.Time) *relaypb.GatherRequest {
@@ -252,27 +255,31 @@
 	floor    []byte
 }
 
-// callRelay calls the relay and reports the results to the query.
+// callRelay calls the relay and reports a result of each attempt to the query, also after a panic.
 func (g *Gateway) callRelay(ctx context.Context, request *relaypb.GatherRequest, rc *relayCall) {
+	err := g.recoverPanic("call of a relay", rc.query.request.ID, func() error { return g.gatherFrom(ctx, request, rc) })
+	rc.failPending(err, ctx.Err() != nil, time.Now())
+}
+
+// gatherFrom calls the relay and handles its replies.
+func (g *Gateway) gatherFrom(ctx context.Context, request *relaypb.GatherRequest, rc *relayCall) error {
 	relay := rc.relay
-	rc.done = make([]bool, len(rc.attempts))
 	g.peerHealth.CallStarted(relay.Address)
-	silenceTimer := time.AfterFunc(rc.silenceTimeout(request), func() { g.control.Suspect(relay.Address, time.Now()) })
-	err := g.recoverPanic("reply of a relay", string(request.GetRequestId()), func() error {
-		return g.adapters.Peers.Gather(ctx, relay.Address, request, func(reply *relaypb.GatherReply) {
-			silenceTimer.Stop()
-			g.peerHealth.Answered(relay.Address)
-			rc.handleReply(reply)
-		})
+	defer g.peerHealth.CallEnded(relay.Address)
+	silenceTimer := time.AfterFunc(rc.silenceTimeout(request), func() {
+		_ = rc.recoverPanic("silence of a relay", func() { g.control.Suspect(relay.Address, time.Now()) })
+	})
+	defer silenceTimer.Stop()
+	err := g.adapters.Peers.Gather(ctx, relay.Address, request, func(reply *relaypb.GatherReply) {
+		silenceTimer.Stop()
+		g.peerHealth.Answered(relay.Address)
+		rc.handleReply(reply)
 	})
-	silenceTimer.Stop()
-	now := time.Now()
 	if err != nil && ctx.Err() == nil {
-		g.control.Suspect(relay.Address, now)
+		g.control.Suspect(relay.Address, time.Now())
 		g.log.Debug().Err(err).Str("peer", relay.Name).Msg("call of a relay failed")
 	}
-	g.peerHealth.CallEnded(relay.Address)
-	rc.failPending(err, ctx.Err() != nil, now)
+	return err
 }
 
 // silenceTimeout returns how long a relay may be silent before it is suspected.
@@ -298,7 +305,11 @@
 		}
 		rc.done[i] = true
 		rc.pending--
-		e.results = append(e.results, rc.handleResult(i, r, now))
+		var out result
+		if err := rc.recoverPanic("result of a relayed call", func() { out = rc.handleResult(i, r, now) }); err != nil {
+			out = rc.failed(i, err, now)
+		}
+		e.results = append(e.results, out)
 	}
 	if len(e.results) > 0 {
 		rc.query.events <- e
@@ -348,9 +359,10 @@
 }
 
 var (
-	errOutcome = errors.New("the relay returned an outcome that is not known here: upgrade this host")
-	errNoReply = errors.New("the relay reported success without the reply of the server: upgrade the relay")
-	errStatus  = errors.New("the relay returned a reply without the status of a final response: upgrade the relay")
+	errNoResult = errors.New("the relay ended the call without a result")
+	errOutcome  = errors.New("the relay returned an outcome that is not known here: upgrade this host")
+	errNoReply  = errors.New("the relay reported success without the reply of the server: upgrade the relay")
+	errStatus   = errors.New("the relay returned a reply without the status of a final response: upgrade the relay")
 )
 
 // checkResult returns an error if a result has an unknown outcome, lacks the reply of the server
@@ -373,29 +385,46 @@
 	if rc.pending == 0 {
 		return
 	}
+	if err == nil {
+		err = errNoResult
+	}
+	evidence := callInconclusive
+	if canceled {
+		evidence = callCanceled
+	}
 	var e event
 	for i, a := range rc.attempts {
 		if rc.done[i] {
 			continue
 		}
-		evidence := callInconclusive
-		if canceled {
-			evidence = callCanceled
-		}
-		a.call.end(callEnd{result: evidence, elapsed: now.Sub(a.call.started)}, now)
-		out := result{shard: a.shard, outcome: relaypb.Outcome_FAILED, server: a.call.backend.ID, reason: "the relay ended the call without a result", elapsed: now.Sub(a.call.started)}
-		if err != nil {
-			out.reason = err.Error()
-		}
-		if peer.Unreachable(err) {
-			out.outcome = relaypb.Outcome_NOT_SENT
-		}
-		countAttempt(a.kind, out.outcome)
-		e.results = append(e.results, out)
+		_ = rc.recoverPanic("end of a relayed call", func() {
+			a.call.end(callEnd{result: evidence, elapsed: now.Sub(a.call.started)}, now)
+		})
+		e.results = append(e.results, rc.failed(i, err, now))
 	}
 	rc.query.events <- e
 }
 
+// failed returns the result of an attempt whose relay returned none that could be handled.
+func (rc *relayCall) failed(i int, err error, now time.Time) result {
+	a := rc.attempts[i]
+	a.call.abandon()
+	out := result{shard: a.shard, outcome: relaypb.Outcome_FAILED, server: a.call.backend.ID, reason: err.Error(), elapsed: now.Sub(a.call.started)}
+	if peer.Unreachable(err) {
+		out.outcome = relaypb.Outcome_NOT_SENT
+	}
+	_ = rc.recoverPanic("metrics of a relayed call", func() { countAttempt(a.kind, out.outcome) })
+	return out
+}
+
+// recoverPanic runs a part of the handling of a reply and converts a panic into an error.
+func (rc *relayCall) recoverPanic(work string, fn func()) error {
+	return rc.query.gateway.recoverPanic(work, rc.query.request.ID, func() error {
+		fn()
+		return nil
+	})
+}
+
 // findServer returns a server by its identifier, with its group, or nil if it is not known here.
 func (g *Gateway) findServer(id string) (*backend, *group) {
 	b := g.fleet.server(id)
