Parts of a relay that cannot be attributed to calls are dropped

A relay returns the merged records of several calls with one result for each. A result with an index that was not asked, or an index twice, was skipped, and its records stayed in the block of the others: the answer held records of a shard that it reported as missing, and held them twice once that shard was asked again. The same would follow from a panic in the handling of one result, which now fails that result alone.

If a part is not counted, all parts of the same reply fail, since merged parts cannot be separated. The calls are made again where the request may run twice.

A relay that leaves a result out cannot be told from one whose call still runs; that case is not covered.

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -669,3 +669,22 @@
 		})
 	}
 }
+
+// An answer must hold no records of a shard that it does not count. They came from relays that return
+// the parts of several calls with a result that cannot be attributed to a call.
+func TestRecordsOfUnattributedPartsAreDropped(t *testing.T) {
+	for _, failure := range []string{"an index that was not asked", "one index for all results", "each result twice", "each reply twice"} {
+		t.Run(failure, func(t *testing.T) {
+			config := shardedConfig(1, answeredShards)
+			config.Routes[0].Query.Top = 10
+			withCluster(t, config, serversOf(shardNames(answeredShards), "b1"), threeRegions[:2], func(cl *cluster) {
+				cl.hosts["host1"].adapters.Peers = &rewritingPeers{cl.peers, relayFailures[failure]}
+				for range 5 {
+					a := cl.ask("host1", "/q/x")
+					records := len(a.Gathered.Records) / fanout.RecordSize
+					assert.Equal(cl.t, records, len(a.Gathered.Signatures), "%+v: each shard has one record", a)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -298,9 +298,11 @@
 	if len(e.floor) == 0 {
 		e.floor = rc.floor // Relays of the previous version do not repeat the floor.
 	}
+	unattributed := false
 	for _, r := range reply.GetResults() {
 		i := int(r.GetIndex())
 		if i >= len(rc.attempts) || rc.done[i] {
+			unattributed = unattributed || r.GetOutcome() == relaypb.Outcome_PART
 			continue
 		}
 		rc.done[i] = true
@@ -309,13 +311,28 @@
 		if err := rc.recoverPanic("result of a relayed call", func() { out = rc.handleResult(i, r, now) }); err != nil {
 			out = rc.failed(i, err, now)
 		}
+		unattributed = unattributed || r.GetOutcome() == relaypb.Outcome_PART && out.outcome != relaypb.Outcome_PART
 		e.results = append(e.results, out)
 	}
+	if unattributed && rc.query.entry.Query != nil {
+		e.dropParts()
+	}
 	if len(e.results) > 0 {
 		rc.query.events <- e
 	}
 }
 
+// dropParts fails the calls that returned parts. It is used if the records include a part of a call that
+// is not counted, since merged parts cannot be separated.
+func (e *event) dropParts() {
+	e.records, e.floor = nil, nil
+	for i := range e.results {
+		if r := &e.results[i]; r.outcome == relaypb.Outcome_PART {
+			r.outcome, r.signature, r.reason = relaypb.Outcome_FAILED, "", errUnattributed.Error()
+		}
+	}
+}
+
 // handleResult converts a relay's result of one call and updates the state of its server.
 func (rc *relayCall) handleResult(i int, r *relaypb.CallResult, now time.Time) result {
 	a := rc.attempts[i]
@@ -359,10 +376,11 @@
 }
 
 var (
-	errNoResult = errors.New("the relay ended the call without a result")
-	errOutcome  = errors.New("the relay returned an outcome that is not known here: upgrade this host")
-	errNoReply  = errors.New("the relay reported success without the reply of the server: upgrade the relay")
-	errStatus   = errors.New("the relay returned a reply without the status of a final response: upgrade the relay")
+	errUnattributed = errors.New("the relay returned the merged parts of more calls than can be attributed: upgrade the relay")
+	errNoResult     = errors.New("the relay ended the call without a result")
+	errOutcome      = errors.New("the relay returned an outcome that is not known here: upgrade this host")
+	errNoReply      = errors.New("the relay reported success without the reply of the server: upgrade the relay")
+	errStatus       = errors.New("the relay returned a reply without the status of a final response: upgrade the relay")
 )
 
 // checkResult returns an error if a result has an unknown outcome, lacks the reply of the server
