A server's reply with a status below 100 fails the call

http.ReadResponse accepts the statuses 000 to 099 (and +99). Such a reply was forwarded, and net/http's WriteHeader panics for it: the caller's connection was closed without an answer, or, since panics are contained, the caller got a fault of the program although another server could have been asked.

The connection pool now returns an error for such a response, so the attempt fails like any other broken reply.

--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -102,6 +102,7 @@
 	errMismatched = errors.New("the responses on this connection belong to other requests")
 	errTooLarge   = errors.New("the body exceeds the limit")
 	errTruncated  = errors.New("the body ended before its Content-Length")
+	errStatus     = errors.New("the status code is below 100")
 )
 
 // conn is a connection with its read buffer and the state of its idle timeout.
@@ -298,7 +299,10 @@
 		if err != nil {
 			return nil, false, fmt.Errorf("read response from %s: %w", r.Address, err)
 		}
-		if head.StatusCode >= 100 && head.StatusCode < 200 {
+		if head.StatusCode < 100 { // http.ReadResponse accepts it, and it cannot be forwarded.
+			return nil, false, fmt.Errorf("read response from %s: %w", r.Address, errStatus)
+		}
+		if head.StatusCode < 200 {
 			continue
 		}
 		body, err := readBody(head, maxBody)
