Failing test: a failure after a reply replaces it

Where the reply and the failure of a hedged request to one server are there when its goroutine gets to run, the failure is handled after the reply, and its reply replaces the one that served the request: the caller gets the 500 of one server though another one had answered.

TestFailureAfterAReplyDoesNotReplaceIt fails each time (500 in place of 200).

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -688,3 +688,19 @@
 		})
 	}
 }
+
+// A request that one server served must get that reply although the other server of a hedge fails after
+// it, before the reply is sent.
+func TestFailureAfterAReplyDoesNotReplaceIt(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1", "b1"), oneHost, func(cl *cluster) {
+		g, r := cl.hosts["host1"], cl.newRequest("/one/")
+		v := g.control.View()
+		entry, _ := matchRoute(v, r)
+		q := g.newQuery(v, entry, 0, r, &trace{})
+		q.state.Sent(0, time.Time{})
+		q.state.Sent(0, time.Time{})
+		q.handleEvent(event{results: []result{{outcome: relaypb.Outcome_PART, signature: "s", reply: &Reply{Status: http.StatusOK}}}})
+		q.handleEvent(event{results: []result{{outcome: relaypb.Outcome_FAILED, reply: &Reply{Status: http.StatusInternalServerError}}}})
+		assert.Equal(cl.t, q.answer(time.Now()).Reply.Status, http.StatusOK)
+	})
+}
