--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -704,3 +704,29 @@
 		assert.Equal(cl.t, q.answer(time.Now()).Reply.Status, http.StatusOK)
 	})
 }
+
+// A server that changes its service while calls to it are in flight must not share its slots with its
+// former group, whose lock is another one: slots were lost or counted twice.
+func TestServerThatChangesServiceStartsAnew(t *testing.T) {
+	withCluster(t, shardedConfig(1, 2), serversOf([]string{"shard0", "shard1", "single"}, "a1"), oneHost, func(cl *cluster) {
+		g := cl.hosts["host1"]
+		cl.setAll(shardNames(2), silent)
+		go cl.ask("host1", "/q/x")
+		time.Sleep(leafServiceTime)
+		before := g.fleet.server("shard0@a1")
+		s := serversOf([]string{"shard0"}, "a1")[0]
+		s.Service = "shard1"
+		cl.store.PutServer(s)
+		time.Sleep(100 * time.Millisecond)
+		after := g.fleet.server("shard0@a1")
+		assert.Assert(cl.t, after.leaf != before.leaf, "both services use the same slots")
+		time.Sleep(2 * time.Second)
+		for _, b := range []*backend{before, after} {
+			group := g.fleet.group(b.Service)
+			group.mu.Lock()
+			assert.Equal(cl.t, b.leaf.Slots.InUse(), 0, b.Service)
+			assert.Equal(cl.t, b.leaf.Leaving, b == before, b.Service)
+			group.mu.Unlock()
+		}
+	})
+}
