Tests that a request is answered under extreme configurations

Each number of a route at and beyond its limits: whatever Validate accepts must be answered or refused.

- max_attempts has no upper bound, and the capacity of the events of a query is shards times attempts: makechan panics from 2^40 or so, and below that each request allocates the memory.
- top_k has no upper bound: 16 times 2^59 records overflows to 0, and fanout.Query.Floor slices an empty buffer.

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -730,3 +730,79 @@
 		}
 	})
 }
+
+// extremeConfigs are changes of a route to values at and beyond the limits of a configuration, by name.
+var extremeConfigs = map[string]func(r *route.Route){
+	"no attempts":                func(r *route.Route) { r.MaxAttempts = 0 },
+	"one attempt":                func(r *route.Route) { r.MaxAttempts = 1 },
+	"a thousand attempts":        func(r *route.Route) { r.MaxAttempts = 1000 },
+	"attempts without end":       func(r *route.Route) { r.MaxAttempts = math.MaxInt64 / answeredShards / 2 },
+	"negative attempts":          func(r *route.Route) { r.MaxAttempts = -1000 },
+	"no objective":               func(r *route.Route) { r.Objective = 0 },
+	"a tiny objective":           func(r *route.Route) { r.Objective = 1 },
+	"a tiny timeout":             func(r *route.Route) { r.Timeout, r.Objective = 1, 0 },
+	"no timeout":                 func(r *route.Route) { r.Timeout, r.Objective = 0, 0 },
+	"a timeout without end":      func(r *route.Route) { r.Timeout, r.Objective = math.MaxInt64, 0 },
+	"an objective without end":   func(r *route.Route) { r.Timeout, r.Objective = math.MaxInt64, math.MaxInt64 },
+	"a priority without end":     func(r *route.Route) { r.Priority = math.MaxInt64 },
+	"a negative priority":        func(r *route.Route) { r.Priority = -1 },
+	"unknown homes":              func(r *route.Route) { r.HomeRegions = route.HomeRegions{"nowhere"} },
+	"an odd name":                func(r *route.Route) { r.Name = "\"}\n\xff{" },
+	"no records":                 ofQuery(func(q *route.Query) { q.Top = 0 }),
+	"negative records":           ofQuery(func(q *route.Query) { q.Top = -1 }),
+	"records without end":        ofQuery(func(q *route.Query) { q.Top = math.MaxInt64/fanout.RecordSize + 1 }),
+	"more records than uint32":   ofQuery(func(q *route.Query) { q.Top = math.MaxUint32 + 1 }),
+	"no shards":                  ofQuery(func(q *route.Query) { q.Shards = nil }),
+	"a shard without servers":    ofQuery(func(q *route.Query) { q.Shards = append(slices.Clone(q.Shards), "none") }),
+	"a shard twice":              ofQuery(func(q *route.Query) { q.Shards = []string{"shard0", "shard0"} }),
+	"no share":                   ofQuery(func(q *route.Query) { q.MinShare = 0 }),
+	"a negative share":           ofQuery(func(q *route.Query) { q.MinShare = -1 }),
+	"a share above 1":            ofQuery(func(q *route.Query) { q.MinShare = 1.5 }),
+	"a share that is no number":  ofQuery(func(q *route.Query) { q.MinShare = math.NaN() }),
+	"targets without any weight": func(r *route.Route) { r.Targets = []route.Target{{Service: "single"}, {Service: "none"}} },
+	"targets of infinite weight": func(r *route.Route) {
+		r.Targets = []route.Target{{Service: "single", Weight: math.Inf(1)}, {Service: "none", Weight: math.Inf(1)}}
+	},
+}
+
+// ofQuery returns a change of the query of a route.
+func ofQuery(change func(*route.Query)) func(*route.Route) {
+	return func(r *route.Route) {
+		if r.Query != nil {
+			change(r.Query)
+		}
+	}
+}
+
+// A request must be answered or refused under each configuration that is valid, whatever its numbers.
+func TestRequestIsAnsweredUnderExtremeConfigurations(t *testing.T) {
+	for name, change := range extremeConfigs {
+		t.Run(name, func(t *testing.T) {
+			withAnsweredCluster(t, func(cl *cluster) {
+				c := answeredConfig(2)
+				for i := range c.Routes {
+					change(&c.Routes[i])
+				}
+				if c.Validate() != nil {
+					return // No host puts it in force.
+				}
+				v := *cl.hosts["h0"].control.View()
+				v.Table = route.NewTable(c)
+				for range 5 {
+					for _, path := range answeredPaths {
+						s := serveRecovered("h0", path, func() Answer {
+							r := cl.newRequest(path)
+							entry, rejected := matchRoute(&v, r)
+							if entry == nil {
+								return rejected
+							}
+							return cl.hosts["h0"].serveRoute(cl.ctx, &v, entry, r, &trace{})
+						})
+						s.answer.Gathered.Missing = answeredShards - len(s.answer.Gathered.Signatures) // Their number differs here.
+						cl.checkAnswered([]servedRequest{s}, false)
+					}
+				}
+			})
+		})
+	}
+}
