Test that a request is answered when its team changes meanwhile

The limit of a team is taken by the configuration of the request, while the coordinator and relays look at the newest one.

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -17,6 +17,7 @@
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/fanout"
 	"github.com/mallowgap/mallowgap/internal/peer"
+	"github.com/mallowgap/mallowgap/quota"
 	"github.com/mallowgap/mallowgap/route"
 	"github.com/mallowgap/mallowgap/team"
 )
@@ -806,3 +807,41 @@
 		})
 	}
 }
+
+// A request of a team with a limit must be answered or refused if its team, its key or its limit changes
+// while it waits for the coordinator or runs.
+func TestRequestIsAnsweredWhenItsTeamChanges(t *testing.T) {
+	configOf := func(version uint64, teams ...team.Team) route.Config {
+		c := answeredConfig(version)
+		c.Teams = teams
+		return c
+	}
+	red := team.Team{Name: "red", Keys: []string{"secret"}, Limit: quota.Limit{PerSecond: 20, Burst: 5}}
+	other, limitless, unlimited, invalid := red, red, red, red
+	other.Keys, limitless.Limit.PerSecond, unlimited.Limit, invalid.Limit = []string{"new"}, 1e-9, quota.Limit{}, quota.Limit{Invalid: true}
+	for name, teams := range map[string][]team.Team{"gone": nil, "key": {other}, "limit of nothing": {limitless}, "no limit": {unlimited}, "invalid limit": {invalid}, "key of two teams": {red, {Name: "blue", Keys: red.Keys}}} {
+		t.Run(name, func(t *testing.T) {
+			for _, at := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, 130 * time.Millisecond} {
+				withCluster(t, configOf(1, red), serversOf(append(shardNames(answeredShards), "single"), "a1", "b1"), answeredHosts, func(cl *cluster) {
+					time.Sleep(2 * time.Second)
+					cl.setAll(append(shardNames(answeredShards), "single"), answerAt(120*time.Millisecond))
+					served := make(chan servedRequest)
+					for _, h := range answeredHosts {
+						for _, path := range answeredPaths {
+							go func() {
+								served <- serveRecovered(h.name, path, func() Answer { return cl.askWith(h.name, path, "Bearer secret") })
+							}()
+						}
+					}
+					time.Sleep(at)
+					cl.store.PutConfig(configOf(2, teams...))
+					var all []servedRequest
+					for range len(answeredHosts) * len(answeredPaths) {
+						all = append(all, <-served)
+					}
+					cl.checkAnswered(all, false)
+				})
+			}
+		})
+	}
+}
