Attempts and records of a route are bounded by what can be used

What callers saw: a route with a huge max_attempts or top_k, which the configuration permits, panicked on each request (makechan: size out of range; slice bounds out of range [-16:]).

Cause: the capacity of the channel of events and the size of the top records in bytes are computed from these numbers and overflow; Top is also cut to 32 bits on the way to a relay.

Change: 64 attempts at most, the number of servers of a service that a host uses, with a warning; 2^30 records at most, more than an answer can hold. Neither changes what a smaller value does.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -219,7 +219,7 @@
 		DueUs:         1 + uint64(max(q.timeLeft(now)-q.gateway.fleet.location.messageLatency(relay.Region), 0).Microseconds()),
 	}
 	if q.entry.Query != nil {
-		m.Top, m.Floor = uint32(q.entry.Query.Top), q.state.Floor()
+		m.Top, m.Floor = uint32(q.entry.Query.EffectiveTop()), q.state.Floor()
 	} else {
 		m.Whole, m.Repeatable = true, q.entry.Idempotent
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -276,7 +276,7 @@
 		end:        r.Arrived.Add(timeout - endMargin),
 		dispatchBy: r.Arrived.Add(time.Duration(dispatchShare * float64(objective))),
 	}
-	settings := fanout.Settings{Shards: 1, MinShare: 1, MaxAttempts: entry.MaxAttempts, AnswerAt: q.end, Deadline: q.end}
+	settings := fanout.Settings{Shards: 1, MinShare: 1, MaxAttempts: entry.EffectiveMaxAttempts(), AnswerAt: q.end, Deadline: q.end}
 	if entry.Query == nil {
 		q.groups = []*group{g.fleet.group(entry.Choose())}
 	} else {
@@ -284,7 +284,7 @@
 			q.groups = append(q.groups, g.fleet.group(shard))
 		}
 		settings.Shards = len(q.groups)
-		settings.Top = entry.Query.Top
+		settings.Top = entry.Query.EffectiveTop()
 		settings.MinShare = entry.Query.MinShare
 		settings.AnswerAt = g.answerAt(r, objective)
 		q.askOrder = scarcity.NewAskOrder(settings.Shards, newRNG())
@@ -303,7 +303,7 @@
 	q.skipReasons = map[int]string{}
 	q.tried = make([][]string, settings.Shards)
 	q.firstCounted = make([]bool, settings.Shards)
-	q.events = make(chan event, settings.Shards*(entry.MaxAttempts+maxRefusalsPerShard))
+	q.events = make(chan event, settings.Shards*(settings.MaxAttempts+maxRefusalsPerShard))
 	return q
 }
 
--- a/route/validate.go
+++ b/route/validate.go
@@ -46,6 +46,9 @@
 		if r.Objective > r.Timeout {
 			warn("objective", "the timeout is used instead; set a time no longer than the timeout")
 		}
+		if r.MaxAttempts > maxAttempts {
+			warn("max attempts", fmt.Sprintf("%d is used instead, as no service has more servers in use; set no more", maxAttempts))
+		}
 	}
 	for _, s := range c.Services {
 		for _, field := range s.UndecodableFields {
@@ -64,6 +67,19 @@
 // count as 0.
 func (r *Route) Rank() uint32 { return uint32(max(r.Priority, 0)) }
 
+// maxAttempts limits MaxAttempts: a host uses at most so many servers of a service.
+const maxAttempts = 64
+
+// EffectiveMaxAttempts returns the maximum number of servers that one request is sent to.
+func (r *Route) EffectiveMaxAttempts() int { return min(r.MaxAttempts, maxAttempts) }
+
+// maxTop limits Top to more records than an answer can hold in memory, so that their size in bytes
+// and their number in messages between hosts do not overflow.
+const maxTop = 1 << 30
+
+// EffectiveTop returns the number of records in an answer.
+func (q *Query) EffectiveTop() int { return min(q.Top, maxTop) }
+
 // defaultObjectiveShare is the default objective as a share of the timeout.
 const defaultObjectiveShare = 0.5
 
