A failure after a reply does not replace it

What callers saw: the 500 of one server for a hedged request that another server had served.

While the goroutine of the request is busy or waits for the processor, the reply and the failure of the other server are both in its channel; the failure is handled after the reply and its response replaced it.

Change: a reply is kept only while no other server has served the request.

--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -272,8 +272,9 @@
 	}
 }
 
+// keepReply keeps the reply of a server, unless another one has served the request already.
 func (q *query) keepReply(r result) {
-	if r.reply != nil {
+	if r.reply != nil && !q.state.Covered(r.shard) {
 		q.reply = r.reply
 	}
 }
@@ -332,9 +333,7 @@
 		q.noteConnectionLost(r)
 	}
 	q.state.Ended(r.shard)
-	if r.reply != nil {
-		q.reply = r.reply
-	}
+	q.keepReply(r)
 	if !q.entry.Idempotent || r.isFinal() {
 		q.state.GiveUp(r.shard)
 	}
