A reply that is ready is delivered at the end of the caller's connection

What callers saw: a caller that closes its sending side while its reply is ready got 502 in half of the cases.

Cause: of two events that are ready, select takes any; the end of the connection won over the reply.

Change: the events that wait are handled first, and a request that is then finished is answered. Nothing more is sent to servers, as before.

Evidence: TestReadyReplyIsDeliveredAtTheEndOfTheConnection failed before, passes 5 times.

--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
 )
 
 // answerAt returns a behaviour that answers each request the given time after its arrival at the
@@ -46,3 +48,21 @@
 	}()
 	return cl.ask(host, path)
 }
+
+// A reply that is ready when the connection of the caller ends must be delivered: the caller may have
+// closed only its sending side.
+func TestReadyReplyIsDeliveredAtTheEndOfTheConnection(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		cl.backends.set("single", silent)
+		ctx, cancel := context.WithCancel(cl.ctx)
+		cancel()
+		g := cl.hosts["host1"]
+		for range 50 { // Which of two ready events is taken is random.
+			r, v := cl.newRequest("/one/"), g.control.View()
+			entry, _ := matchRoute(v, r)
+			q := g.newQuery(v, entry, 0, r, &trace{})
+			q.events <- event{results: []result{{outcome: relaypb.Outcome_PART, signature: "s", reply: &Reply{Status: http.StatusOK}}}}
+			assert.Equal(cl.t, q.run(ctx).Outcome, Forwarded)
+		}
+	})
+}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -167,6 +167,9 @@
 			return notRun(q.cause, q.failure, q.retryAfter())
 		}
 		if callerLeft := q.awaitEvent(ctx, now); callerLeft {
+			if q.state.Finished(time.Now()) {
+				return q.answer(time.Now())
+			}
 			return Answer{Outcome: CallerLeft, Cause: CauseCallerLeft, Reason: "the caller closed its connection"}
 		}
 		if callCtx.Err() != nil {
@@ -231,6 +234,7 @@
 		q.applySuspension()
 	case <-timer.C:
 	case <-ctx.Done():
+		q.drainEvents() // An answer that is ready is delivered.
 		return true
 	}
 	return false
