A panic before sending releases the slots of the request

What callers saw: after panics between the choice of a server and the call, its service was refused as busy on this host for good.

Cause: a slot is taken when an attempt is prepared, and released by the goroutine of its call; a panic between the two left it taken.

Change: the calls that are prepared and not sent are kept until they are, and their slots are released if the request panics. A slot is released once, also if the call was sent meanwhile.

Evidence: TestPanicBeforeSendingReleasesTheSlot failed before (busy after the panics) and passes 5 times; go test ./internal/gateway passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,6 +104,15 @@
 		}
 		q.sendDirect(ctx, a, now)
 	}
+	q.unsent = q.unsent[:0]
+}
+
+// abandonUnsent releases the slots of calls that were prepared when a panic ended the request.
+func (q *query) abandonUnsent() {
+	for _, c := range q.unsent {
+		c.abandon()
+	}
+	q.unsent = nil
 }
 
 // deferColdAttempt gives up an attempt at a cold server that this host may not call itself.
@@ -189,6 +198,7 @@
 		q.deferShard(need, err, now)
 		return attempt{}, false
 	}
+	q.unsent = append(q.unsent, c)
 	if kind != firstAttempt && !q.takeBudget(g, kind, now) {
 		c.abandon()
 		countDenied(kind)
--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -66,3 +66,17 @@
 		}
 	})
 }
+
+// A panic between the taking of a slot and the sending must not keep the slot taken.
+func TestPanicBeforeSendingReleasesTheSlot(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		g := cl.hosts["host1"]
+		latency := g.latency
+		g.latency = nil // The delay of a hedge is looked up just before a call is sent.
+		for range 200 {
+			assert.Equal(cl.t, cl.ask("host1", "/one/").Cause, CausePanic)
+		}
+		g.latency = latency
+		assert.Equal(cl.t, cl.ask("host1", "/one/").Outcome, Forwarded)
+	})
+}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -81,6 +81,8 @@
 	stopCalls context.CancelFunc
 	// barChanged is closed when some request becomes barred.
 	barChanged <-chan struct{}
+	// unsent holds the calls whose slots were taken and that are not sent yet.
+	unsent []*call
 	// askOrder decides which scarce shards are asked; skipped lists the shards that are currently not
 	// asked.
 	askOrder *scarcity.AskOrder
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -249,6 +249,7 @@
 // abort cancels the calls of a request that panics, and tells the trace which servers were asked.
 func (q *query) abort() {
 	q.trace.servers = slices.Concat(q.tried...)
+	q.abandonUnsent()
 	if q.stopCalls != nil {
 		q.stopCalls()
 	}
