--- /dev/null
+++ b/internal/callerconn/conn.go
@@ -0,0 +1,164 @@
+package callerconn
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// lastLook is how long a connection that is about to be closed as idle is read once more. A request
+// that arrived while the host had no processor time is still found in the socket.
+const lastLook = 100 * time.Millisecond
+
+// interrupt is a read deadline that has passed.
+var interrupt = time.Unix(1, 0)
+
+// Conn is a connection of a caller. It must be served by an http.Server that Tracker.Configure
+// configured.
+type Conn struct {
+	net.Conn
+	tracker *Tracker
+
+	mu sync.Mutex
+	// fresh is set until the first byte is read.
+	fresh bool
+	// idleSince is when the last response ended, or when a fresh connection was accepted. It is zero
+	// while a request is read or served.
+	idleSince time.Time
+	// readSinceWrite reports whether bytes were read since the last write began: they belong to a
+	// further request.
+	readSinceWrite bool
+	// readDeadline is the deadline that net/http has set.
+	readDeadline time.Time
+	// closing is whether the next read without a byte ends the connection, and looked, whether it was
+	// read once more since.
+	closing, looked bool
+	closed          bool
+}
+
+func newConn(conn net.Conn, t *Tracker) *Conn {
+	return &Conn{Conn: conn, tracker: t, fresh: true, idleSince: time.Now()}
+}
+
+// Read implements net.Conn. If the connection is to be closed as idle and no byte is there, it
+// returns an error, upon which net/http closes the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.noteRead(n, err) {
+			return n, err
+		}
+	}
+}
+
+// noteRead records the result of a read and reports whether to read again.
+func (c *Conn) noteRead(n int, err error) (again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.readSinceWrite = true
+		c.startHeader()
+		c.setBusy()
+		return false
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if c.closing {
+		if c.looked {
+			return false
+		}
+		c.looked = true
+		return c.Conn.SetReadDeadline(time.Now().Add(lastLook)) == nil
+	}
+	// If the deadline has not passed, the read was interrupted for a close that was called off.
+	return c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.readSinceWrite = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn. It does not postpone a close.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the sending side if the connection supports it. net/http calls it before it
+// closes a connection on which the caller may still be sending.
+func (c *Conn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if first {
+		c.tracker.remove(c)
+	}
+	return c.Conn.Close()
+}
+
+// begin records that a request is served. A request that was read together with the one before it
+// needs no further read.
+func (c *Conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setBusy()
+}
+
+// startHeader limits the time for the header from the first byte of a further request. net/http does
+// so from the fourth one. c.mu is held.
+func (c *Conn) startHeader() {
+	if timeout := c.tracker.headerTimeout; timeout > 0 && !c.fresh && !c.idleSince.IsZero() {
+		c.readDeadline = time.Now().Add(timeout)
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // A connection that fails here fails the next read too.
+	}
+}
+
+// setBusy records that a request is read or served, and calls off a close. c.mu is held.
+func (c *Conn) setBusy() {
+	c.fresh, c.idleSince = false, time.Time{}
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // A connection that fails here fails the next read too.
+	}
+}
+
+// setIdle records that a response ended.
+func (c *Conn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.readSinceWrite {
+		c.idleSince = now
+	}
+}
+
+// closeIdle closes the connection if it is idle and expired reports true.
+func (c *Conn) closeIdle(now time.Time, expired Expired) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.closed || c.idleSince.IsZero() || !expired(now.Sub(c.idleSince), c.fresh) {
+		return
+	}
+	c.closing, c.looked = true, false
+	_ = c.Conn.SetReadDeadline(interrupt) // A connection that fails here ends by its next read.
+}
--- /dev/null
+++ b/internal/callerconn/tracker.go
@@ -0,0 +1,97 @@
+// Package callerconn tracks the connections of callers and closes those that are idle.
+//
+// http.Server reports that a connection is in use only once the header of a request is parsed. Until
+// then a sweep by that state, and http.Server.Shutdown, close connections of which a request was
+// read already. Here a connection is in use from the first byte of a request, and only the goroutine
+// that reads from it ends it, when a read brings no byte: no request that was read is lost.
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Expired reports whether to close a connection that has been idle for the given time. A fresh
+// connection has had no request yet; its idle time counts from when it was accepted.
+type Expired func(idle time.Duration, fresh bool) bool
+
+// Tracker tracks the connections of an http.Server. It is safe for concurrent use.
+type Tracker struct {
+	// headerTimeout limits the time to read the header of a request; 0 is no limit.
+	headerTimeout time.Duration
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewTracker returns a tracker without connections.
+func NewTracker() *Tracker { return &Tracker{conns: map[*Conn]struct{}{}} }
+
+// Listen returns a listener whose connections are tracked.
+func (t *Tracker) Listen(l net.Listener) net.Listener { return &listener{l, t} }
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(conn, l.tracker)
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.tracker.conns[c] = struct{}{}
+	return c, nil
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// Configure makes a server report to the tracker. The server must serve a listener that Listen
+// returned.
+func (t *Tracker) Configure(s *http.Server) {
+	t.headerTimeout = s.ReadHeaderTimeout
+	next := s.Handler
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if conn, ok := c.(*Conn); ok && state == http.StateIdle {
+			conn.setIdle(time.Now())
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			c.begin()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// CloseIdle closes the idle connections for which expired reports true.
+func (t *Tracker) CloseIdle(now time.Time, expired Expired) {
+	for _, c := range t.all() {
+		c.closeIdle(now, expired)
+	}
+}
+
+func (t *Tracker) all() []*Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conns := make([]*Conn, 0, len(t.conns))
+	for c := range t.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (t *Tracker) remove(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/pause"
 )
 
@@ -45,7 +45,7 @@
 	callers, ready, metrics *http.Server
 	peers                   *drpcserver.Server
 	listeners               map[string]net.Listener
-	idle                    *idleConns
+	conns                   *callerconn.Tracker
 }
 
 // Run serves until stop is closed and then performs a graceful shutdown. It returns
@@ -92,7 +92,7 @@
 
 func (g *Gateway) listen(h Handlers) (*endpoints, error) {
 	l := g.settings.GetListen()
-	s := &endpoints{listeners: map[string]net.Listener{}, idle: &idleConns{since: map[net.Conn]time.Time{}}}
+	s := &endpoints{listeners: map[string]net.Listener{}, conns: callerconn.NewTracker()}
 	for key, address := range map[string]string{"callers": l.GetCallers(), "ready": l.GetReady(), "peers": l.GetPeers(), "metrics": l.GetMetrics()} {
 		if address == "" {
 			continue
@@ -103,10 +103,10 @@
 		}
 		s.listeners[key] = listener
 	}
-	s.callers = &http.Server{
-		Handler: h.Callers, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration(), ReadTimeout: bodyTimeout,
-		IdleTimeout: maxIdleTime, ConnState: s.idle.stateChanged,
+	if callers := s.listeners["callers"]; callers != nil {
+		s.listeners["callers"] = s.conns.Listen(callers)
 	}
+	s.callers = newCallerServer(h.Callers, l.GetHeaderTimeout().AsDuration(), s.conns)
 	s.ready = &http.Server{Handler: h.Ready, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
 	s.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
 	errorLog := newHTTPErrorLog(g.log)
@@ -119,6 +119,13 @@
 	return s, nil
 }
 
+// newCallerServer returns the server for the requests of callers.
+func newCallerServer(h http.Handler, headerTimeout time.Duration, conns *callerconn.Tracker) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: maxIdleTime}
+	conns.Configure(s)
+	return s
+}
+
 func metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c echo.Context) error {
@@ -138,41 +145,15 @@
 }
 
 // sweepIdle closes connections that have been idle for too long until ctx is done.
+// http.Server.IdleTimeout cannot be used because the limit changes with the configuration.
 func (g *Gateway) sweepIdle(ctx context.Context, s *endpoints, sweepEdges func(now time.Time)) {
 	for ctx.Err() == nil {
 		pause.Sleep(ctx, idleSweepInterval)
 		now := time.Now()
 		sweepEdges(now)
 		if table := g.control.View().Table; table != nil && table.Limits().IdleTimeout > 0 {
-			s.idle.closeIdleBefore(now.Add(-table.Limits().IdleTimeout))
-		}
-	}
-}
-
-// idleConns tracks the idle connections of callers. http.Server.IdleTimeout cannot be used because
-// the limit changes with the configuration.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func (i *idleConns) stateChanged(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-	} else {
-		delete(i.since, c)
-	}
-}
-
-func (i *idleConns) closeIdleBefore(idleBefore time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if since.Before(idleBefore) {
-			_ = c.Close()
-			delete(i.since, c)
+			limit := table.Limits().IdleTimeout
+			s.conns.CloseIdle(now, func(idle time.Duration, fresh bool) bool { return !fresh && idle > limit })
 		}
 	}
 }
