A graceful shutdown answers requests that are being read

What callers saw: a request sent while its host stops whose connection is closed with neither an answer nor a refusal.

Cause: http.Server.Shutdown closes connections by net/http's own state, in which a connection is idle until the header of its next request is parsed; and once Shutdown was called, net/http drops a request whose header it has just read, on new connections as on kept ones.

Only then http.Server.Shutdown is called.

--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -12,6 +12,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/mallowgap/mallowgap/internal/pause"
+)
+
+const (
+	// freshGrace is how long Drain waits for the first request of a connection.
+	freshGrace = 500 * time.Millisecond
+	// drainInterval is the interval at which Drain closes idle connections.
+	drainInterval = 10 * time.Millisecond
 )
 
 // Expired reports whether to close a connection that has been idle for the given time. A fresh
@@ -80,6 +89,21 @@
 	}
 }
 
+// Drain closes connections as they become idle, until none is open or ctx is done, and returns how
+// many are open. The listener must be closed before.
+func (t *Tracker) Drain(ctx context.Context) int {
+	for {
+		open := t.all()
+		if len(open) == 0 || ctx.Err() != nil {
+			return len(open)
+		}
+		for _, c := range open {
+			c.closeIdle(time.Now(), func(idle time.Duration, fresh bool) bool { return !fresh || idle > freshGrace })
+		}
+		pause.Sleep(ctx, drainInterval)
+	}
+}
+
 func (t *Tracker) all() []*Conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,12 +75,15 @@
 	shutdown := g.settings.GetShutdown()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdown.GetDrainTimeout().AsDuration())
 	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
-		g.log.Warn().Err(err).Msg("connections of callers are still in use after drain_timeout")
+	_ = s.listeners["callers"].Close() // The process exits soon, which closes it too.
+	if open := s.conns.Drain(ctx); open > 0 {
+		g.log.Warn().Int("connections", open).Msg("connections of callers are still in use after drain_timeout")
 	}
 	cut := g.WaitDrained(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
+	// Not earlier: from then on net/http drops requests whose header was just read.
+	_ = s.callers.Shutdown(closeCtx)
 	_ = s.ready.Shutdown(closeCtx)
 	g.Close()
 	g.log.Info().Int("cut", cut).Msg("planned stop ended")
@@ -103,9 +106,7 @@
 		}
 		s.listeners[key] = listener
 	}
-	if callers := s.listeners["callers"]; callers != nil {
-		s.listeners["callers"] = s.conns.Listen(callers)
-	}
+	s.listeners["callers"] = s.conns.Listen(s.listeners["callers"])
 	s.callers = newCallerServer(h.Callers, l.GetHeaderTimeout().AsDuration(), s.conns)
 	s.ready = &http.Server{Handler: h.Ready, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
 	s.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
--- /dev/null
+++ b/internal/gateway/server_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/internal/callerconn"
+	"github.com/mallowgap/mallowgap/internal/callerconn/callertest"
+)
+
+// serveCallers serves callers over in-memory connections by a handler.
+func serveCallers(h http.HandlerFunc) (*endpoints, *callertest.Listener) {
+	l, conns := callertest.NewListener(), callerconn.NewTracker()
+	s := &endpoints{conns: conns, listeners: map[string]net.Listener{"callers": conns.Listen(l)}, ready: &http.Server{}}
+	s.callers = newCallerServer(h, 10*time.Second, conns)
+	go func() { _ = s.callers.Serve(s.listeners["callers"]) }()
+	return s, l
+}
+
+// A graceful shutdown must answer a request that was partly read when it began, on a new and on a
+// kept connection, and must not wait for connections without one.
+func TestShutdownAnswersARequestThatIsBeingRead(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), nil, oneHost, func(cl *cluster) {
+		s, l := serveCallers(func(http.ResponseWriter, *http.Request) {})
+		callers := []*callertest.Caller{l.Dial(), l.Dial()}
+		callers[0].Exchange(cl.t, callertest.Get)
+		for _, c := range callers {
+			assert.NilError(cl.t, c.Send(callertest.Get[:10]))
+		}
+		l.Dial().Exchange(cl.t, callertest.Get)
+		l.Dial()
+		ended := make(chan error)
+		began := time.Now()
+		go func() { ended <- cl.hosts["host1"].shutDown(s) }()
+		time.Sleep(time.Second)
+		for _, c := range callers {
+			c.Exchange(cl.t, callertest.Get[10:])
+		}
+		assert.NilError(cl.t, <-ended)
+		assert.Assert(cl.t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
+		synctest.Wait()
+	})
+}
