A test that the read timeout ends with the body of a request

Suspected: ReadTimeout (30 s) stays the read deadline while a request is served, so that the background read of net/http fails and the request counts as left by its caller.

No logic is changed; the test stays because the rule rests on a detail of net/http that is not documented.

--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -46,3 +47,29 @@
 		synctest.Wait()
 	})
 }
+
+// The time limit for reading a request must not end its context while it is served: the caller
+// would count as having left.
+func TestReadTimeoutEndsWithTheBody(t *testing.T) {
+	requests := map[string]string{
+		"no body":      callertest.Get,
+		"body":         "POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\n\r\n{}",
+		"chunked body": "POST / HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	}
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, l := serveCallers(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					select {
+					case <-r.Context().Done():
+						w.WriteHeader(http.StatusGone)
+					case <-time.After(2 * bodyTimeout):
+					}
+				})
+				defer func() { _ = s.callers.Close() }()
+				l.Dial().Exchange(t, request)
+			})
+		})
+	}
+}
