Requests that a graceful shutdown aborts are answered

What callers saw: a request that is still in flight when drain_timeout ends has its connection closed by the end of the process, with neither an answer nor a refusal.

Cause: nothing told the requests that the time is over; Run only counted them.

Change: 250 ms before the end (a quarter of a shorter drain_timeout) requests in flight end: a query with what has arrived if that suffices, otherwise 502 if a server may have run the request, and "not run" if none was sent it. A request that arrives then on a connection that is still open is refused. Each counts with cause "stopping", and Run returns ErrRequestsAborted with their number as before. A request that waits for its quota needs no channel of its own: that wait is at most 100 ms, and the next decision finds the shutdown.

Verified: TestRequestsThatAShutdownAbortsAreAnswered fails without the change (the requests run into their timeouts) and passes with it (-race, 5 of 5). The whole package passes without -race. With a process for each test, 135 of 137 pass; the other two, TestUnrelatedCrashesBarNoRequest (the detector crashes) and TestServerUnderItsOldIdentifierStartsAnew (the test reads a counter without its lock), touch nothing of this change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,10 @@
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	stop     context.CancelFunc
+	// aborting is closed when requests in flight must end, shortly before a graceful shutdown does;
+	// aborted counts those that ended without success then.
+	aborting chan struct{}
+	aborted  atomic.Int64
 }
 
 // New returns a gateway that serves once Start is called.
@@ -80,6 +84,7 @@
 		teamMetrics: newTeamMetrics(),
 		callerWaits: map[string]*admission.WaitEstimator{},
 		started:     time.Now(),
+		aborting:    make(chan struct{}),
 	}
 	g.guard = guard.New(h.GetName(), quarantineStore{g}, log)
 	g.control = control.New(control.Config{
@@ -222,6 +227,23 @@
 	g.coordination.BeginStop()
 }
 
+// abortRequests makes the requests in flight end, each with an answer.
+func (g *Gateway) abortRequests() {
+	if n := g.InFlight(); n > 0 {
+		g.log.Warn().Int("in_flight", n).Msg("requests in flight are ended: drain_timeout is almost over")
+	}
+	close(g.aborting)
+}
+
+func (g *Gateway) isAborting() bool {
+	select {
+	case <-g.aborting:
+		return true
+	default:
+		return false
+	}
+}
+
 // InFlight returns the number of requests being served for callers and peers.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -148,7 +148,8 @@
 	defer q.releaseCalls(ctx)
 	for {
 		now := time.Now()
-		if now.Before(q.end) {
+		aborting := q.gateway.isAborting()
+		if now.Before(q.end) && !aborting {
 			q.launch(callCtx, now)
 		}
 		if q.trial.barred {
@@ -163,6 +164,9 @@
 		if q.state.Finished(now) || q.onlySkippedRemain() {
 			return q.answer(now)
 		}
+		if aborting {
+			return q.abortedAnswer(now)
+		}
 		if !q.dispatched() && !now.Before(q.dispatchBy) {
 			return notRun(q.cause, q.failure, q.retryAfter())
 		}
@@ -229,6 +233,8 @@
 		q.checkBarred()
 	case <-q.resumed:
 		q.applySuspension()
+	case <-q.gateway.aborting:
+		q.drainEvents()
 	case <-timer.C:
 	case <-ctx.Done():
 		return true
@@ -370,6 +376,20 @@
 	return Answer{Outcome: Failed, Cause: q.cause, Reason: q.failure}
 }
 
+// CauseStopping: the host stopped before the request was finished.
+const CauseStopping Cause = "stopping"
+
+// abortedAnswer returns the answer of a query that is not finished when a graceful shutdown ends: what
+// has arrived if it suffices, otherwise whether the request may have run.
+func (q *query) abortedAnswer(now time.Time) Answer {
+	a := q.answer(now)
+	if a.Outcome == Failed || a.Outcome == NotRun {
+		a.Cause, a.Reason = CauseStopping, "the host that served the request stops"
+		q.gateway.aborted.Add(1)
+	}
+	return a
+}
+
 func (q *query) success() Answer {
 	if q.entry.Query == nil {
 		return Answer{Outcome: Forwarded, Reply: q.reply}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -25,6 +25,10 @@
 	maxIdleTime = 5 * time.Minute
 	// idleSweepInterval is the interval between checks for idle connections.
 	idleSweepInterval = time.Second
+	// answerTime is the time before the end of a graceful shutdown at which requests in flight are
+	// ended, so that their answers are written. answerShare limits it, as a share of the time to drain.
+	answerTime  = 250 * time.Millisecond
+	answerShare = 0.25
 	// closeTimeout limits the time to close the remaining listeners at the end of a graceful shutdown.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -73,13 +77,16 @@
 // shutDown stops accepting connections, waits for the requests in flight and closes the gateway.
 func (g *Gateway) shutDown(s *endpoints) error {
 	shutdown := g.settings.GetShutdown()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdown.GetDrainTimeout().AsDuration())
+	drain := shutdown.GetDrainTimeout().AsDuration()
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
+	abort := time.AfterFunc(drain-min(answerTime, time.Duration(answerShare*float64(drain))), g.abortRequests)
+	defer abort.Stop()
 	_ = s.listeners["callers"].Close() // The process exits soon, which closes it too.
 	if open := s.conns.Drain(ctx); open > 0 {
 		g.log.Warn().Int("connections", open).Msg("connections of callers are still in use after drain_timeout")
 	}
-	cut := g.WaitDrained(ctx)
+	cut := g.WaitDrained(ctx) + int(g.aborted.Load())
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	// Not earlier: from then on net/http drops requests whose header was just read.
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/internal/callerconn"
@@ -48,6 +49,48 @@
 	})
 }
 
+// Requests that are in flight when the time of a graceful shutdown is over must be answered: with the
+// parts that have arrived if they suffice, otherwise as failed if a server may have run them, and as
+// not run if none was sent them.
+func TestRequestsThatAShutdownAbortsAreAnswered(t *testing.T) {
+	config := shardedConfig(1, 2)
+	for i := range config.Routes {
+		config.Routes[i].Timeout, config.Routes[i].Objective = 100*time.Second, 90*time.Second
+	}
+	file := settingsOf(t, oneHost[0])
+	file.GetShutdown().DrainTimeout = durationpb.New(3 * time.Second)
+	withCluster(t, config, serversOf([]string{"shard0", "shard1", "single"}, "a1"), nil, func(cl *cluster) {
+		g := cl.start(file)
+		time.Sleep(time.Second)
+		cl.backends.set("shard1", silent)
+		s, l := serveCallers(func(w http.ResponseWriter, r *http.Request) {
+			request := cl.newRequest(r.URL.Path)
+			request.Timeout = 0
+			w.WriteHeader(http.StatusOK + int(g.Serve(r.Context(), request).Outcome))
+		})
+		var callers []*callertest.Caller
+		send := func(path string, single behaviour) {
+			cl.backends.set("single", single)
+			callers = append(callers, l.Dial())
+			assert.NilError(cl.t, callers[len(callers)-1].Send("GET "+path+" HTTP/1.1\r\nHost: desk.example\r\n\r\n"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		send("/q/", nil)
+		send("/once/", silent)
+		send("/once/", unreachable)
+		ended := make(chan error, 1)
+		go func() { ended <- g.shutDown(s) }()
+		for n, want := range []Outcome{Gathered, Failed, NotRun} {
+			status, err := callers[n].Receive()
+			assert.NilError(cl.t, err)
+			assert.Equal(cl.t, Outcome(status-http.StatusOK), want)
+		}
+		err := <-ended
+		assert.ErrorIs(cl.t, err, ErrRequestsAborted)
+		assert.ErrorContains(cl.t, err, "(2)")
+	})
+}
+
 // The time limit for reading a request must not end its context while it is served: the caller
 // would count as having left.
 func TestReadTimeoutEndsWithTheBody(t *testing.T) {
