A lower idle limit counts from when it came into force

What callers saw: just after a configuration that lowers the idle limit, a request on a connection that was idle within the former limit finds the connection closed.

Change: callerconn.IdleLimit. A lower limit counts from when the host learned of it, and until then the highest limit holds that callers may still go by, through several changes in a row too. A connection stays open for no longer than under the former limit.

Ruled out: to count from the time of the configuration in force; each version would start the limit anew, and with a version a second no connection would ever be closed.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -155,13 +155,16 @@
 // sweepIdle closes connections that have been idle for too long until ctx is done.
 // http.Server.IdleTimeout cannot be used because the limit changes with the configuration.
 func (g *Gateway) sweepIdle(ctx context.Context, s *endpoints, sweepEdges func(now time.Time)) {
+	var limit callerconn.IdleLimit
 	for ctx.Err() == nil {
 		pause.Sleep(ctx, idleSweepInterval)
 		now := time.Now()
 		sweepEdges(now)
-		if table := g.control.View().Table; table != nil && table.Limits().IdleTimeout > 0 {
-			limit := table.Limits().IdleTimeout
-			s.conns.CloseIdle(now, func(idle time.Duration, fresh bool) bool { return !fresh && idle > limit })
+		idleTimeout := g.Limits().IdleTimeout
+		if idleTimeout <= 0 {
+			idleTimeout = maxIdleTime
 		}
+		limit.Set(idleTimeout, now)
+		s.conns.CloseIdle(now, func(idle time.Duration, fresh bool) bool { return !fresh && limit.Expired(idle, now) })
 	}
 }
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -116,3 +116,28 @@
 		})
 	}
 }
+
+// A configuration that lowers the idle limit must not close connections at once that callers reuse by
+// the former limit.
+func TestLowerIdleLimitSparesConnectionsInUseByTheFormer(t *testing.T) {
+	config := shardedConfig(1, 1)
+	config.Limits.IdleTimeout = 10 * time.Second
+	withCluster(t, config, nil, oneHost, func(cl *cluster) {
+		s, l := serveCallers(func(http.ResponseWriter, *http.Request) {})
+		defer func() { _ = s.callers.Close() }()
+		go cl.hosts["host1"].sweepIdle(cl.ctx, s, func(time.Time) {})
+		time.Sleep(20 * time.Second)
+		c := l.Dial()
+		c.Exchange(cl.t, callertest.Get)
+		time.Sleep(6 * time.Second)
+		config.Version, config.Limits.IdleTimeout = 2, 5*time.Second
+		cl.store.PutConfig(config)
+		time.Sleep(2 * time.Second)
+		c.Exchange(cl.t, callertest.Get)
+		began := time.Now()
+		_, err := c.Receive()
+		assert.ErrorIs(cl.t, err, io.ErrUnexpectedEOF)
+		idle := time.Since(began)
+		assert.Assert(cl.t, idle >= 5*time.Second && idle <= 5*time.Second+2*idleSweepInterval, "%v", idle)
+	})
+}
