A graceful shutdown waits for the last connection that is accepted

What callers saw: nothing yet; found by a test of this part.

Cause: a connection that the listener has handed out is tracked a moment later. In between Drain saw none, returned, and http.Server.Shutdown dropped its first request.

Change: Drain also waits until the listener has reported that it is closed, from which on it hands out no connection.

Verified: TestDrainWaitsForTheLastAccept fails without the change (3 of 3) and passes with it (-race, 10 of 10).

--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -111,6 +111,22 @@
 	})
 }
 
+// Drain must not end while a connection may still be accepted.
+func TestDrainWaitsForTheLastAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, conns := callertest.NewListener(), NewTracker()
+		tracked := conns.Listen(l)
+		open := make(chan int, 1)
+		go func() { open <- conns.Drain(t.Context()) }()
+		_ = l.Close()
+		synctest.Wait()
+		assert.Equal(t, len(open), 0)
+		_, err := tracked.Accept()
+		assert.ErrorIs(t, err, net.ErrClosed)
+		assert.Equal(t, <-open, 0)
+	})
+}
+
 // scriptedConn reads what the functions return, one a call, and records the read deadline.
 type scriptedConn struct {
 	net.Conn
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -34,28 +35,40 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// listeners counts the listeners that may still accept a connection.
+	listeners int
 }
 
 // NewTracker returns a tracker without connections.
 func NewTracker() *Tracker { return &Tracker{conns: map[*Conn]struct{}{}} }
 
 // Listen returns a listener whose connections are tracked.
-func (t *Tracker) Listen(l net.Listener) net.Listener { return &listener{l, t} }
+func (t *Tracker) Listen(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listeners++
+	return &listener{Listener: l, tracker: t}
+}
 
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	ended   bool
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
 	if err != nil {
+		if errors.Is(err, net.ErrClosed) && !l.ended {
+			l.ended = true
+			l.tracker.listeners--
+		}
 		return nil, err
 	}
 	c := newConn(conn, l.tracker)
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
 	l.tracker.conns[c] = struct{}{}
 	return c, nil
 }
@@ -84,17 +97,18 @@
 
 // CloseIdle closes the idle connections for which expired reports true.
 func (t *Tracker) CloseIdle(now time.Time, expired Expired) {
-	for _, c := range t.all() {
+	open, _ := t.all()
+	for _, c := range open {
 		c.closeIdle(now, expired)
 	}
 }
 
-// Drain closes connections as they become idle, until none is open or ctx is done, and returns how
-// many are open. The listener must be closed before.
+// Drain closes connections as they become idle, until none is open and none can be accepted, or ctx
+// is done, and returns how many are open. The listener must be closed before.
 func (t *Tracker) Drain(ctx context.Context) int {
 	for {
-		open := t.all()
-		if len(open) == 0 || ctx.Err() != nil {
+		open, accepting := t.all()
+		if len(open) == 0 && !accepting || ctx.Err() != nil {
 			return len(open)
 		}
 		for _, c := range open {
@@ -104,14 +118,15 @@
 	}
 }
 
-func (t *Tracker) all() []*Conn {
+// all returns the open connections and whether more may be accepted.
+func (t *Tracker) all() (conns []*Conn, accepting bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	conns := make([]*Conn, 0, len(t.conns))
+	conns = make([]*Conn, 0, len(t.conns))
 	for c := range t.conns {
 		conns = append(conns, c)
 	}
-	return conns
+	return conns, t.listeners > 0
 }
 
 func (t *Tracker) remove(c *Conn) {
