Why a caller's connection ended is known and counted

Cause: net/http ends the context of a request on any end of its background read, and a handler could not tell a caller that left from one that closed its sending side, from a deadline or from a close by this host. Nothing counted what this host closes.

Change: callerconn.FromContext tells a handler whether the connection is open or why it ended: end of file, reset, deadline, broken, idle, stopping, or closed after a response. It is recorded before the context is done; a reset that follows an end of file replaces it. mallowgap_caller_connections_ended_total counts each connection once, by reason. A read that was interrupted for a close which was called off sets its deadline again before it goes on. No decision uses the reason yet.

--- a/internal/callerconn/callertest/pipe.go
+++ b/internal/callerconn/callertest/pipe.go
@@ -4,13 +4,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
-	"testing"
-
-	"gotest.tools/v3/assert"
 )
 
 // Get is a whole request.
@@ -80,10 +78,16 @@
 }
 
 // Exchange sends a request, or the rest of one, and expects a response of status 200.
-func (c *Caller) Exchange(t *testing.T, request string) {
-	t.Helper()
-	assert.NilError(t, c.Send(request))
+func (c *Caller) Exchange(request string) error {
+	if err := c.Send(request); err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
 	status, err := c.Receive()
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusOK)
+	if err != nil {
+		return fmt.Errorf("receive: %w", err)
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("status %d instead of 200", status)
+	}
+	return nil
 }
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,9 +1,7 @@
 package callerconn
 
 import (
-	"errors"
 	"net"
-	"os"
 	"sync"
 	"time"
 )
@@ -19,7 +17,8 @@
 // configured.
 type Conn struct {
 	net.Conn
-	tracker *Tracker
+	tracker  *Tracker
+	accepted time.Time
 
 	mu sync.Mutex
 	// fresh is set until the first byte is read.
@@ -32,14 +31,17 @@
 	readSinceWrite bool
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
-	// closing is whether the next read without a byte ends the connection, and looked, whether it was
-	// read once more since.
-	closing, looked bool
-	closed          bool
+	// closing is why the next read without a byte ends the connection, Unknown if it does not, and
+	// looked, whether it was read once more since.
+	closing End
+	looked  bool
+	closed  bool
+	end     End
 }
 
 func newConn(conn net.Conn, t *Tracker) *Conn {
-	return &Conn{Conn: conn, tracker: t, fresh: true, idleSince: time.Now()}
+	now := time.Now()
+	return &Conn{Conn: conn, tracker: t, accepted: now, fresh: true, idleSince: now, end: Open}
 }
 
 // Read implements net.Conn. If the connection is to be closed as idle and no byte is there, it
@@ -63,18 +65,26 @@
 		c.setBusy()
 		return false
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err == nil {
 		return false
 	}
-	if c.closing {
-		if c.looked {
-			return false
+	end := endOf(err)
+	switch {
+	case end != Deadline:
+	case c.closing != Unknown:
+		if !c.looked {
+			c.looked = true
+			return c.Conn.SetReadDeadline(time.Now().Add(lastLook)) == nil
 		}
-		c.looked = true
-		return c.Conn.SetReadDeadline(time.Now().Add(lastLook)) == nil
+		end = c.closing
+	case c.readDeadline.IsZero(), time.Now().Before(c.readDeadline):
+		// The read was interrupted for a close that was called off.
+		return c.Conn.SetReadDeadline(c.readDeadline) == nil
+	case c.readDeadline.Before(c.accepted):
+		return false // net/http interrupts its own read in this way.
 	}
-	// If the deadline has not passed, the read was interrupted for a close that was called off.
-	return c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)
+	c.noteEnd(end)
+	return false
 }
 
 // Write implements net.Conn.
@@ -82,7 +92,13 @@
 	c.mu.Lock()
 	c.readSinceWrite = false
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		c.noteEnd(endOf(err))
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. It does not postpone a close.
@@ -90,7 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.closing {
+	if c.closing != Unknown {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -109,10 +125,15 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	first := !c.closed
+	if c.end == Open {
+		c.end = Closed
+	}
 	c.closed = true
+	end := c.end
 	c.mu.Unlock()
 	if first {
 		c.tracker.remove(c)
+		ended[end].Inc()
 	}
 	return c.Conn.Close()
 }
@@ -137,8 +158,8 @@
 // setBusy records that a request is read or served, and calls off a close. c.mu is held.
 func (c *Conn) setBusy() {
 	c.fresh, c.idleSince = false, time.Time{}
-	if c.closing {
-		c.closing = false
+	if c.closing != Unknown {
+		c.closing = Unknown
 		_ = c.Conn.SetReadDeadline(c.readDeadline) // A connection that fails here fails the next read too.
 	}
 }
@@ -152,13 +173,13 @@
 	}
 }
 
-// closeIdle closes the connection if it is idle and expired reports true.
-func (c *Conn) closeIdle(now time.Time, expired Expired) {
+// closeIdle closes the connection for a reason if it is idle and expired reports true.
+func (c *Conn) closeIdle(now time.Time, reason End, expired Expired) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.closed || c.idleSince.IsZero() || !expired(now.Sub(c.idleSince), c.fresh) {
+	if c.closing != Unknown || c.closed || c.idleSince.IsZero() || !expired(now.Sub(c.idleSince), c.fresh) {
 		return
 	}
-	c.closing, c.looked = true, false
+	c.closing, c.looked = reason, false
 	_ = c.Conn.SetReadDeadline(interrupt) // A connection that fails here ends by its next read.
 }
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -37,14 +37,14 @@
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	serve(t, answerAtOnce, func(t *testing.T, l *callertest.Listener, conns *Tracker) {
 		early, late := l.Dial(), l.Dial()
-		early.Exchange(t, callertest.Get)
+		assert.NilError(t, early.Exchange(callertest.Get))
 		time.Sleep(4 * time.Second)
-		late.Exchange(t, callertest.Get)
+		assert.NilError(t, late.Exchange(callertest.Get))
 		time.Sleep(2 * time.Second)
 		conns.CloseIdle(time.Now(), func(idle time.Duration, _ bool) bool { return idle > 5*time.Second })
 		_, err := early.Receive()
 		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
-		late.Exchange(t, callertest.Get)
+		assert.NilError(t, late.Exchange(callertest.Get))
 	})
 }
 
@@ -53,13 +53,13 @@
 func TestConnectionWithARequestUnderWayIsNotIdle(t *testing.T) {
 	serve(t, answerAtOnce, func(t *testing.T, l *callertest.Listener, conns *Tracker) {
 		c := l.Dial()
-		c.Exchange(t, callertest.Get)
+		assert.NilError(t, c.Exchange(callertest.Get))
 		time.Sleep(4 * time.Second)
 		assert.NilError(t, c.Send(callertest.Get[:1]))
 		time.Sleep(2 * time.Second)
 		conns.CloseIdle(time.Now(), always)
 		time.Sleep(2 * lastLook)
-		c.Exchange(t, callertest.Get[1:])
+		assert.NilError(t, c.Exchange(callertest.Get[1:]))
 	})
 }
 
@@ -69,7 +69,7 @@
 	serve(t, answerAtOnce, func(t *testing.T, l *callertest.Listener, conns *Tracker) {
 		c := l.Dial()
 		for range 3 {
-			c.Exchange(t, callertest.Get)
+			assert.NilError(t, c.Exchange(callertest.Get))
 			synctest.Wait()
 			conns.CloseIdle(time.Now(), always)
 			time.Sleep(lastLook / 2)
@@ -88,7 +88,7 @@
 		}
 	}, func(t *testing.T, l *callertest.Listener, conns *Tracker) {
 		c := l.Dial()
-		c.Exchange(t, callertest.Get+callertest.Get)
+		assert.NilError(t, c.Exchange(callertest.Get+callertest.Get))
 		time.Sleep(100 * time.Millisecond)
 		conns.CloseIdle(time.Now(), always)
 		status, err := c.Receive()
@@ -101,7 +101,7 @@
 func TestFirstByteOfARequestStartsTheHeaderTimeout(t *testing.T) {
 	serve(t, answerAtOnce, func(t *testing.T, l *callertest.Listener, _ *Tracker) {
 		c := l.Dial()
-		c.Exchange(t, callertest.Get)
+		assert.NilError(t, c.Exchange(callertest.Get))
 		synctest.Wait()
 		assert.NilError(t, c.Send(callertest.Get[:1]))
 		began := time.Now()
@@ -158,8 +158,8 @@
 	_, err = c.Read(make([]byte, 1))
 	assert.NilError(t, err)
 	c.setIdle(time.Now())
-	c.closeIdle(time.Now(), always)
-	assert.Assert(t, !c.closing)
+	c.closeIdle(time.Now(), Idle, always)
+	assert.Equal(t, c.closing, Unknown)
 }
 
 // The deadline that net/http sets once a response ended must not postpone a close.
@@ -167,7 +167,7 @@
 	raw := &scriptedConn{}
 	c := newConn(raw, NewTracker())
 	c.setIdle(time.Now())
-	c.closeIdle(time.Now(), always)
+	c.closeIdle(time.Now(), Idle, always)
 	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
 	assert.Equal(t, raw.deadline, interrupt)
 }
@@ -180,7 +180,7 @@
 		c.begin()
 		return 0, os.ErrDeadlineExceeded
 	}, oneByte}
-	c.closeIdle(time.Now(), always)
+	c.closeIdle(time.Now(), Idle, always)
 	n, err := c.Read(make([]byte, 1))
 	assert.NilError(t, err)
 	assert.Equal(t, n, 1)
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -99,7 +99,7 @@
 func (t *Tracker) CloseIdle(now time.Time, expired Expired) {
 	open, _ := t.all()
 	for _, c := range open {
-		c.closeIdle(now, expired)
+		c.closeIdle(now, Idle, expired)
 	}
 }
 
@@ -112,7 +112,7 @@
 			return len(open)
 		}
 		for _, c := range open {
-			c.closeIdle(time.Now(), func(idle time.Duration, fresh bool) bool { return !fresh || idle > freshGrace })
+			c.closeIdle(time.Now(), Stopping, func(idle time.Duration, fresh bool) bool { return !fresh || idle > freshGrace })
 		}
 		pause.Sleep(ctx, drainInterval)
 	}
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -30,18 +30,18 @@
 	withCluster(t, shardedConfig(1, 1), nil, oneHost, func(cl *cluster) {
 		s, l := serveCallers(func(http.ResponseWriter, *http.Request) {})
 		callers := []*callertest.Caller{l.Dial(), l.Dial()}
-		callers[0].Exchange(cl.t, callertest.Get)
+		assert.NilError(cl.t, callers[0].Exchange(callertest.Get))
 		for _, c := range callers {
 			assert.NilError(cl.t, c.Send(callertest.Get[:10]))
 		}
-		l.Dial().Exchange(cl.t, callertest.Get)
+		assert.NilError(cl.t, l.Dial().Exchange(callertest.Get))
 		l.Dial()
 		ended := make(chan error)
 		began := time.Now()
 		go func() { ended <- cl.hosts["host1"].shutDown(s) }()
 		time.Sleep(time.Second)
 		for _, c := range callers {
-			c.Exchange(cl.t, callertest.Get[10:])
+			assert.NilError(cl.t, c.Exchange(callertest.Get[10:]))
 		}
 		assert.NilError(cl.t, <-ended)
 		assert.Assert(cl.t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
@@ -111,7 +111,7 @@
 					}
 				})
 				defer func() { _ = s.callers.Close() }()
-				l.Dial().Exchange(t, request)
+				assert.NilError(t, l.Dial().Exchange(request))
 			})
 		})
 	}
@@ -128,12 +128,12 @@
 		go cl.hosts["host1"].sweepIdle(cl.ctx, s, func(time.Time) {})
 		time.Sleep(20 * time.Second)
 		c := l.Dial()
-		c.Exchange(cl.t, callertest.Get)
+		assert.NilError(cl.t, c.Exchange(callertest.Get))
 		time.Sleep(6 * time.Second)
 		config.Version, config.Limits.IdleTimeout = 2, 5*time.Second
 		cl.store.PutConfig(config)
 		time.Sleep(2 * time.Second)
-		c.Exchange(cl.t, callertest.Get)
+		assert.NilError(cl.t, c.Exchange(callertest.Get))
 		began := time.Now()
 		_, err := c.Receive()
 		assert.ErrorIs(cl.t, err, io.ErrUnexpectedEOF)
