No request is dropped between the end of the drain and the exit

What callers saw: a request whose last bytes arrive after drain_timeout, before the process has exited, has its connection closed with neither an answer nor a refusal.

Cause: http.Server.Shutdown, called last, drops requests whose header was just read, and closes connections on which a part of one was read.

Change: it is not called any more. Such a request is refused with cause "stopping"; the exit of the process closes what is left.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -82,6 +82,7 @@
 	defer cancel()
 	abort := time.AfterFunc(drain-min(answerTime, time.Duration(answerShare*float64(drain))), g.abortRequests)
 	defer abort.Stop()
+	// http.Server.Shutdown is not used, as it drops requests whose header was just read.
 	_ = s.listeners["callers"].Close() // The process exits soon, which closes it too.
 	if open := s.conns.Drain(ctx); open > 0 {
 		g.log.Warn().Int("connections", open).Msg("connections of callers are still in use after drain_timeout")
@@ -89,8 +90,6 @@
 	cut := g.WaitDrained(ctx) + int(g.aborted.Load())
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
-	// Not earlier: from then on net/http drops requests whose header was just read.
-	_ = s.callers.Shutdown(closeCtx)
 	_ = s.ready.Shutdown(closeCtx)
 	g.Close()
 	g.log.Info().Int("cut", cut).Msg("planned stop ended")
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -78,6 +78,8 @@
 		send("/q/", nil)
 		send("/once/", silent)
 		send("/once/", unreachable)
+		late := l.Dial()
+		assert.NilError(cl.t, late.Send(callertest.Get[:10]))
 		ended := make(chan error, 1)
 		go func() { ended <- g.shutDown(s) }()
 		for n, want := range []Outcome{Gathered, Failed, NotRun} {
@@ -88,6 +90,11 @@
 		err := <-ended
 		assert.ErrorIs(cl.t, err, ErrRequestsAborted)
 		assert.ErrorContains(cl.t, err, "(2)")
+		assert.NilError(cl.t, late.Send(callertest.Get[10:])) // Before the process exits.
+		status, err := late.Receive()
+		assert.NilError(cl.t, err)
+		assert.Equal(cl.t, Outcome(status-http.StatusOK), NotRun)
+		_ = late.Close()
 	})
 }
 
