--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -127,10 +127,12 @@
 	})
 }
 
-// scriptedConn reads what the functions return, one a call, and records the read deadline.
+// scriptedConn reads what the functions return, one a call, and records the read deadline. Its writes
+// fail with writeErr.
 type scriptedConn struct {
 	net.Conn
 	reads    []func() (int, error)
+	writeErr error
 	deadline time.Time
 }
 
@@ -140,7 +142,7 @@
 	return read()
 }
 
-func (s *scriptedConn) Write(p []byte) (int, error) { return len(p), nil }
+func (s *scriptedConn) Write(p []byte) (int, error) { return len(p), s.writeErr }
 
 func (s *scriptedConn) SetReadDeadline(t time.Time) error {
 	s.deadline = t
--- a/internal/callerconn/end_test.go
+++ b/internal/callerconn/end_test.go
@@ -41,6 +41,9 @@
 		_, _ = c.Read(nil)
 		assert.Equal(t, c.end, test.want, "an interruption by net/http is no end")
 	}
+	c := newConn(&scriptedConn{writeErr: syscall.EPIPE}, NewTracker())
+	_, _ = c.Write(nil)
+	assert.Equal(t, c.end, Reset)
 }
 
 // Each connection must be counted once, by what ended it, and its handlers must learn the same.
