--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/pause"
 )
 
@@ -25,6 +25,10 @@
 	maxIdleTime = 5 * time.Minute
 	// idleSweepInterval is the interval between checks for idle connections.
 	idleSweepInterval = time.Second
+	// answerTime is the time before the end of a graceful shutdown at which requests in flight are
+	// ended, so that their answers are written. answerShare limits it, as a share of the time to drain.
+	answerTime  = 250 * time.Millisecond
+	answerShare = 0.25
 	// closeTimeout limits the time to close the remaining listeners at the end of a graceful shutdown.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -45,7 +49,7 @@
 	callers, ready, metrics *http.Server
 	peers                   *drpcserver.Server
 	listeners               map[string]net.Listener
-	idle                    *idleConns
+	conns                   *callerconn.Tracker
 }
 
 // Run serves until stop is closed and then performs a graceful shutdown. It returns
@@ -73,12 +77,17 @@
 // shutDown stops accepting connections, waits for the requests in flight and closes the gateway.
 func (g *Gateway) shutDown(s *endpoints) error {
 	shutdown := g.settings.GetShutdown()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdown.GetDrainTimeout().AsDuration())
+	drain := shutdown.GetDrainTimeout().AsDuration()
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
-		g.log.Warn().Err(err).Msg("connections of callers are still in use after drain_timeout")
+	abort := time.AfterFunc(drain-min(answerTime, time.Duration(answerShare*float64(drain))), g.abortRequests)
+	defer abort.Stop()
+	// http.Server.Shutdown is not used, as it drops requests whose header was just read.
+	_ = s.listeners["callers"].Close() // The process exits soon, which closes it too.
+	if open := s.conns.Drain(ctx); open > 0 {
+		g.log.Warn().Int("connections", open).Msg("connections of callers are still in use after drain_timeout")
 	}
-	cut := g.WaitDrained(ctx)
+	cut := g.WaitDrained(ctx) + int(g.aborted.Load())
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	_ = s.ready.Shutdown(closeCtx)
@@ -92,7 +101,7 @@
 
 func (g *Gateway) listen(h Handlers) (*endpoints, error) {
 	l := g.settings.GetListen()
-	s := &endpoints{listeners: map[string]net.Listener{}, idle: &idleConns{since: map[net.Conn]time.Time{}}}
+	s := &endpoints{listeners: map[string]net.Listener{}, conns: callerconn.NewTracker()}
 	for key, address := range map[string]string{"callers": l.GetCallers(), "ready": l.GetReady(), "peers": l.GetPeers(), "metrics": l.GetMetrics()} {
 		if address == "" {
 			continue
@@ -103,10 +112,8 @@
 		}
 		s.listeners[key] = listener
 	}
-	s.callers = &http.Server{
-		Handler: h.Callers, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration(), ReadTimeout: bodyTimeout,
-		IdleTimeout: maxIdleTime, ConnState: s.idle.stateChanged,
-	}
+	s.listeners["callers"] = s.conns.Listen(s.listeners["callers"])
+	s.callers = newCallerServer(h.Callers, l.GetHeaderTimeout().AsDuration(), s.conns)
 	s.ready = &http.Server{Handler: h.Ready, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
 	s.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
 	errorLog := newHTTPErrorLog(g.log)
@@ -119,6 +126,13 @@
 	return s, nil
 }
 
+// newCallerServer returns the server for the requests of callers.
+func newCallerServer(h http.Handler, headerTimeout time.Duration, conns *callerconn.Tracker) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: maxIdleTime}
+	conns.Configure(s)
+	return s
+}
+
 func metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c echo.Context) error {
@@ -138,41 +152,18 @@
 }
 
 // sweepIdle closes connections that have been idle for too long until ctx is done.
+// http.Server.IdleTimeout cannot be used because the limit changes with the configuration.
 func (g *Gateway) sweepIdle(ctx context.Context, s *endpoints, sweepEdges func(now time.Time)) {
+	var limit callerconn.IdleLimit
 	for ctx.Err() == nil {
 		pause.Sleep(ctx, idleSweepInterval)
 		now := time.Now()
 		sweepEdges(now)
-		if table := g.control.View().Table; table != nil && table.Limits().IdleTimeout > 0 {
-			s.idle.closeIdleBefore(now.Add(-table.Limits().IdleTimeout))
-		}
-	}
-}
-
-// idleConns tracks the idle connections of callers. http.Server.IdleTimeout cannot be used because
-// the limit changes with the configuration.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func (i *idleConns) stateChanged(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-	} else {
-		delete(i.since, c)
-	}
-}
-
-func (i *idleConns) closeIdleBefore(idleBefore time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if since.Before(idleBefore) {
-			_ = c.Close()
-			delete(i.since, c)
+		idleTimeout := g.Limits().IdleTimeout
+		if idleTimeout <= 0 {
+			idleTimeout = maxIdleTime
 		}
+		limit.Set(idleTimeout, now)
+		s.conns.CloseIdle(now, func(idle time.Duration, fresh bool) bool { return !fresh && limit.Expired(idle, now) })
 	}
 }
