The line of a request tells how its caller's connection ended

describeEnd takes the end from callerconn: end of file, reset, deadline, or which close of this host; before, it had the cause of the context, which net/http leaves at 'context canceled'.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -95,6 +95,8 @@
 	CauseSuspect Cause = "suspect"
 	// CauseCallerLeft: the connection of the caller ended.
 	CauseCallerLeft Cause = "caller_left"
+	// CauseStopping: the host stopped before the request was finished.
+	CauseStopping Cause = "stopping"
 	// CausePanic: a panic, a fault of the program, ended the request.
 	CausePanic Cause = "panic"
 )
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -381,9 +381,6 @@
 	return Answer{Outcome: Failed, Cause: q.cause, Reason: q.failure}
 }
 
-// CauseStopping: the host stopped before the request was finished.
-const CauseStopping Cause = "stopping"
-
 // abortedAnswer returns the answer of a query that is not finished when a graceful shutdown ends: what
 // has arrived if it suffices, otherwise whether the request may have run.
 func (q *query) abortedAnswer(now time.Time) Answer {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
@@ -104,13 +105,17 @@
 	return "own"
 }
 
-// describeEnd describes why the connection of a caller ended, as far as its context tells. It returns
-// "" if the connection has not ended.
+// describeEnd describes why the connection of a caller ended. It returns "" if it has not ended, as far as
+// is known.
 func describeEnd(ctx context.Context) string {
-	if ctx.Err() == nil {
+	switch end := callerconn.FromContext(ctx); {
+	case end == callerconn.Unknown && ctx.Err() != nil:
+		return context.Cause(ctx).Error()
+	case end == callerconn.Unknown || end == callerconn.Open:
 		return ""
+	default:
+		return end.String()
 	}
-	return context.Cause(ctx).Error()
 }
 
 // logGather logs the calls that this host made for a peer.
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -148,3 +148,21 @@
 		assert.Assert(cl.t, idle >= 5*time.Second && idle <= 5*time.Second+2*idleSweepInterval, "%v", idle)
 	})
 }
+
+// The line of a request whose caller has gone must tell how its connection ended.
+func TestEndOfATrackedConnectionIsDescribed(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), nil, oneHost, func(cl *cluster) {
+		ends := make(chan string, 2)
+		s, l := serveCallers(func(_ http.ResponseWriter, r *http.Request) {
+			ends <- describeEnd(r.Context())
+			<-r.Context().Done()
+			ends <- describeEnd(r.Context())
+		})
+		caller := l.Dial()
+		assert.NilError(cl.t, caller.Send(callertest.Get))
+		assert.Equal(cl.t, <-ends, "")
+		assert.NilError(cl.t, caller.Close())
+		assert.Equal(cl.t, <-ends, "end_of_file")
+		assert.NilError(cl.t, cl.hosts["host1"].shutDown(s))
+	})
+}
