Failing test: a failure that waits beside a success replaces it

What callers see: the status 500 of one server, although another one served the request, with the outcome "forwarded".

Cause: query.handleFailure sets q.reply whenever the failed attempt has a reply, also if the shard is covered. Both replies have to wait in the channel when the goroutine of the request runs: the same condition as for the panic of a second reply.

The test fills the channel itself, so it does not depend on the number of processors.

--- /dev/null
+++ b/internal/gateway/replies_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+)
+
+// answerOfWaitingReplies returns the answer to a hedged request to one server, if all replies wait to be
+// handled when its goroutine runs.
+func answerOfWaitingReplies(cl *cluster, host string, replies ...result) Answer {
+	g, r := cl.hosts[host], cl.newRequest("/one/")
+	v := g.control.View()
+	q := g.newQuery(v, v.Table.Match(r.Host, r.Path), 0, r, &trace{})
+	for _, reply := range replies {
+		q.state.Sent(0, time.Time{})
+		q.events <- event{results: []result{reply}}
+	}
+	q.awaitEvent(cl.ctx, time.Now())
+	return q.answer(time.Now())
+}
+
+// Replies of both servers of a hedged request, waiting together, must be answered by one that succeeded:
+// the second one panicked, and a failure replaces the success before it.
+func TestWaitingRepliesAreAnsweredByASuccess(t *testing.T) {
+	served := result{outcome: relaypb.Outcome_PART, signature: "s", reply: &Reply{Status: http.StatusOK, Signature: "s"}}
+	failed := result{outcome: relaypb.Outcome_FAILED, reply: &Reply{Status: http.StatusInternalServerError}}
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1", "b1"), oneHost, func(cl *cluster) {
+		for name, replies := range map[string][]result{
+			"served twice": {served, served}, "failed, then served": {failed, served}, "served, then failed": {served, failed},
+		} {
+			a := answerOfWaitingReplies(cl, "host1", replies...)
+			assert.Check(t, a.Outcome == Forwarded && a.Reply.OK(), "%s: %v %+v", name, a.Outcome, a.Reply)
+		}
+	})
+}
