Failing test: an unknown outcome loses all parts of a relay's reply

What callers see: a timeout, although the other parts had arrived.

Cause: countAttempt uses a nil counter for an outcome that it does not know. relayCall.handleReply has marked all results up to this one as done and has not sent the event, so that failPending leaves them out and the query waits for them until its end.

--- a/internal/gateway/replies_test.go
+++ b/internal/gateway/replies_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -38,3 +39,32 @@
 		}
 	})
 }
+
+// newerPeers reports the last call of each relayed request with an outcome that this version does not
+// know.
+type newerPeers struct{ PeerClient }
+
+func (p newerPeers) Gather(ctx context.Context, address string, m *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error {
+	return p.PeerClient.Gather(ctx, address, m, func(reply *relaypb.GatherReply) {
+		for _, r := range reply.GetResults() {
+			if r.GetOutcome() == relaypb.Outcome_PART && int(r.GetIndex()) == len(m.GetServerIds())-1 {
+				r.Outcome = 99
+			}
+		}
+		received(reply)
+	})
+}
+
+// A result with an outcome that only newer relays know must cost its own part: the other parts of the
+// same reply belong in the answer.
+func TestUnknownOutcomeCostsOnePart(t *testing.T) {
+	hosts := []hostSpec{{"host1", "a1", "a"}, {"host2", "b1", "b"}}
+	withCluster(t, shardedConfig(1, 3), serversOf(shardNames(3), "b1"), hosts, func(cl *cluster) {
+		time.Sleep(2 * time.Second) // The hosts learn of each other.
+		cl.hosts["host1"].adapters.Peers = newerPeers{cl.peers}
+		panics := panicsRecovered.Get()
+		a := cl.ask("host1", "/q/x")
+		assert.Check(t, panicsRecovered.Get() == panics, "the result panicked")
+		assert.Assert(t, a.Outcome == Gathered && a.Gathered.Missing <= 1, "%+v", a)
+	})
+}
