Failing test: a panic before the sending keeps the slots

What callers see: after as many panics as a server has slots, this host sends the server nothing more until it is restarted.

Cause: prepareAttempt takes a slot, and only the goroutine of the call or abandon releases it. A panic in prepareAttempt after pick, in the preparation of another shard, in sendAttempts or in relayRequest releases none.

--- /dev/null
+++ b/internal/gateway/slots_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slotsInUse returns the slots that are taken at the servers of a service.
+func (g *Gateway) slotsInUse(service string) int {
+	servers := g.fleet.group(service)
+	servers.mu.Lock()
+	defer servers.mu.Unlock()
+	n := 0
+	for _, b := range servers.members {
+		n += b.leaf.Slots.InUse()
+	}
+	return n
+}
+
+// A panic between the taking of slots and the sending must release them. If it did not, the host could
+// soon send nothing to these servers until it is restarted.
+func TestPanicBeforeTheSendingReleasesTheSlots(t *testing.T) {
+	withCluster(t, shardedConfig(1, 2), serversOf(shardNames(2), "a1"), oneHost, func(cl *cluster) {
+		g := cl.hosts["host1"]
+		servers := g.fleet.group("shard1")
+		servers.mu.Lock()
+		window := servers.retryWindow
+		servers.retryWindow = nil // Counting the first attempt panics, when the slot is taken.
+		servers.mu.Unlock()
+		a := cl.ask("host1", "/q/x")
+		assert.Equal(t, a.Cause, CausePanic)
+		servers.mu.Lock()
+		servers.retryWindow = window
+		servers.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, g.slotsInUse("shard0")+g.slotsInUse("shard1"), 0, "slots are taken without a call")
+	})
+}
