Failing test: a recovered panic leaves a group locked

What callers would see: every later request of the service waits for the lock with no answer, as a mutex knows no deadline.

Cause: serverVersions and fleet.observations unlock without defer. No input that makes them panic is known; the test uses a member that is nil.

--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -38,3 +38,22 @@
 		assert.Equal(t, g.slotsInUse("shard0")+g.slotsInUse("shard1"), 0, "slots are taken without a call")
 	})
 }
+
+// A panic while the servers of a group are listed must not leave the group locked: all requests of the
+// service would wait for the lock without an answer.
+func TestPanicReleasesTheLockOfAGroup(t *testing.T) {
+	f := newFleet(location{}, time.Second)
+	servers := f.group("single")
+	servers.members = []*backend{nil}
+	for name, list := range map[string]func(){
+		"serverVersions": func() { serverVersions([]*group{servers}) },
+		"observations":   func() { f.observations([]string{"single"}, time.Now()) },
+	} {
+		func() {
+			defer func() { assert.Assert(t, recover() != nil, name) }()
+			list()
+		}()
+		assert.Check(t, servers.mu.TryLock(), "%s leaves the group locked", name)
+		servers.mu.Unlock()
+	}
+}
