Failing test: a panic of the meter leaves the account locked

What callers would see: every later request of a limited team waits for the lock with no answer, in Coordination.Take, before any deadline is looked at.

Cause: account.take and giveBack unlock without defer, and Gateway.Serve recovers. No input that makes the meter panic is known.

--- /dev/null
+++ b/internal/coordination/account_test.go
@@ -0,0 +1,38 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/quota"
+)
+
+// panickingMeter panics when a request is taken or given back.
+type panickingMeter struct{ Meter }
+
+func (panickingMeter) SetHosts(int, int) {}
+
+func (panickingMeter) Take(string, quota.Limit, time.Time) quota.Decision {
+	panic("injected by the test")
+}
+
+func (panickingMeter) Return(string, time.Time) { panic("injected by the test") }
+
+// A panic of the meter must end one request. If it leaves the account locked, every later request of a
+// limited team waits for the lock without an answer.
+func TestPanicOfTheMeterReleasesTheAccount(t *testing.T) {
+	for name, use := range map[string]func(a *account){
+		"take":     func(a *account) { a.take(t.Context(), "team", quota.Limit{PerSecond: 1, Burst: 1}, Caller{}) },
+		"giveBack": func(a *account) { a.giveBack("team", time.Now()) },
+	} {
+		a := newAccount(panickingMeter{})
+		a.hosts = 1
+		func() {
+			defer func() { assert.Assert(t, recover() != nil, name) }()
+			use(a)
+		}()
+		assert.Check(t, a.mu.TryLock(), "%s leaves the account locked", name)
+	}
+}
