Failing test: the end of a caller is taken for silence of the coordinator

What callers and operators see: a caller within the limit of its team whose connection ends during the ask is refused as over the limit "as the coordinator did not answer", and mallowgap_quota_asks_unanswered_total grows.

Cause: account.await treats the end of the context like askTimeout and calls Meter.Unanswered, which dates the silence of the coordinator from there.

--- a/internal/coordination/account_test.go
+++ b/internal/coordination/account_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -36,3 +37,26 @@
 		assert.Check(t, a.mu.TryLock(), "%s leaves the account locked", name)
 	}
 }
+
+// impatientMeter counts the asks that are said to have had no answer.
+type impatientMeter struct {
+	fakeMeter
+	unanswered int
+}
+
+func (m *impatientMeter) Unanswered(string, quota.Limit, time.Time) quota.Decision {
+	m.unanswered++
+	return quota.Decision{Action: quota.Refuse, RetryAfter: time.Second}
+}
+
+// The end of a caller's connection during an ask says nothing about the coordinator, which still has
+// time to answer.
+func TestEndOfACallerIsNotSilenceOfTheCoordinator(t *testing.T) {
+	meter := &impatientMeter{}
+	a := newAccount(meter)
+	a.hosts, a.streaming = 2, true
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	a.take(ctx, "team", quota.Limit{PerSecond: 1, Burst: 1}, Caller{})
+	assert.Equal(t, meter.unanswered, 0, "the coordinator had no time to answer")
+}
