Failing test: a panic while a relay takes a slot ends the process

What callers see: all connections of the host are closed without an answer, and the requesting host's retry may end the next relay.

Cause: Gateway.gather recovers in its own goroutine only. Each call of a server runs in another one, where callServer recovers, but findServer and takeSlotWithRetry before it do not.

--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/replica"
 )
 
 // slotsInUse returns the slots that are taken at the servers of a service.
@@ -57,3 +60,25 @@
 		servers.mu.Unlock()
 	}
 }
+
+// A panic while a relay takes a slot for a peer must fail that call only: it happens in a goroutine of
+// its own, so that it would end the process with all requests of the host.
+func TestPanicOfARelayedCallIsAResult(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		g := cl.hosts["host1"]
+		servers := g.fleet.group("single")
+		servers.mu.Lock()
+		set := servers.set
+		servers.set = nil
+		servers.mu.Unlock()
+		var out result
+		func() {
+			defer func() { assert.Check(t, recover() == nil, "the panic is not recovered in the goroutine of the call") }()
+			out = g.callForPeer(cl.ctx, "single@a1", cl.newRequest("/one/"), time.Second, replica.TimeBudget{Objective: time.Second, Remaining: time.Second}, false)
+		}()
+		servers.mu.Lock()
+		servers.set = set
+		servers.mu.Unlock()
+		assert.Assert(t, out.outcome == relaypb.Outcome_NOT_SENT || out.outcome == relaypb.Outcome_FAILED, "%v", out.outcome)
+	})
+}
