The line of a start tells how many processors the process uses

Whether two replies of one request are handled together depends on it: with one processor the goroutine of a request usually runs before the second reply is read.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -66,7 +67,7 @@
 	defer stopPeers()
 	s.serve(peerCtx)
 	go g.sweepIdle(ctx, s, h.Sweep)
-	g.log.Info().Str("domain", g.self.GetDomain()).Str("callers", g.settings.GetListen().GetCallers()).Msg("gateway started")
+	g.log.Info().Str("domain", g.self.GetDomain()).Str("callers", g.settings.GetListen().GetCallers()).Int("processors", runtime.GOMAXPROCS(0)).Msg("gateway started")
 	<-stop
 	g.log.Info().Int("in_flight", g.InFlight()).Msg("planned stop begins")
 	g.BeginStop(ctx)
