A routing table is built with few allocations

Change: the entries are one array that refers to the routes of the configuration; maps have their size from the start; a gate that exists is not built; the missing shards of a list are counted when a query is added. A configuration must not change once it is in a table, as was so for its lists before.

--- a/route/gate.go
+++ b/route/gate.go
@@ -23,7 +23,7 @@
 }
 
 // addGates adds the gates of a route.
-func (t *Table) addGates(r Route) {
+func (t *Table) addGates(r *Route) {
 	if r.Query != nil {
 		n := len(r.Query.Shards)
 		if n > 0 {
@@ -32,6 +32,10 @@
 		return
 	}
 	for _, target := range r.Targets {
+		// Most routes share the gate of another one.
+		if g, exists := t.gates[target.Service]; exists && len(g.Services) == 1 && slices.Equal(g.Homes, r.HomeRegions) {
+			continue
+		}
 		t.addGate(GateServers{Services: []string{target.Service}, Needed: 1, Homes: r.HomeRegions})
 	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -30,22 +30,39 @@
 
 // Entry is a route of a table.
 type Entry struct {
-	Route
+	*Route
 	split roundRobin
 	// MaxMissing is, for a query, the number of shards that may be missing from its
 	// answer under the strictest MinShare of all queries over the same list of shards.
 	MaxMissing int
+	// shardSet is, for a query, the index of its shards in Table.shardSets.
+	shardSet int
 }
 
-// NewTable returns the table of a valid configuration.
+// NewTable returns the table of a valid configuration, which must not change afterwards.
 func NewTable(config Config) *Table {
-	t := &Table{config: config, byHost: map[string][]*Entry{}, services: map[string]Service{}, shards: map[string]bool{}, routeNames: map[string]bool{}, gates: map[string]GateServers{}}
-	for _, r := range config.Routes {
+	t := &Table{
+		config: config, byHost: map[string][]*Entry{}, services: make(map[string]Service, len(config.Services)), shards: map[string]bool{},
+		routeNames: make(map[string]bool, len(config.Routes)), gates: map[string]GateServers{},
+	}
+	entries := make([]Entry, len(config.Routes))
+	// maxMissing is Entry.MaxMissing of the queries over each of shardSets.
+	var maxMissing []int
+	for i := range config.Routes {
+		r, e := &config.Routes[i], &entries[i]
 		t.routeNames[r.Name] = true
-		t.addShards(r.Query)
+		if q := r.Query; q != nil {
+			e.shardSet = t.addShards(q)
+			if e.shardSet == len(maxMissing) {
+				maxMissing = append(maxMissing, len(q.Shards))
+			}
+			maxMissing[e.shardSet] = min(maxMissing[e.shardSet], len(q.Shards)-int(math.Ceil(q.MinShare*float64(len(q.Shards)))))
+		}
 		t.addGates(r)
-		e := &Entry{Route: r}
-		e.split.current = make([]float64, len(r.Targets))
+		e.Route = r
+		if len(r.Targets) > 1 {
+			e.split.current = make([]float64, len(r.Targets))
+		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], e)
 	}
 	for _, entries := range t.byHost {
@@ -54,7 +71,11 @@
 	for _, s := range config.Services {
 		t.services[s.Name] = s
 	}
-	t.computeMaxMissing()
+	for i := range entries {
+		if entries[i].Query != nil {
+			entries[i].MaxMissing = maxMissing[entries[i].shardSet]
+		}
+	}
 	if len(config.Teams) > 0 {
 		t.teams = team.NewDirectory(config.Teams)
 		t.limitsTeams = slices.ContainsFunc(config.Teams, func(t team.Team) bool { return t.Limit.Limited() })
@@ -63,37 +84,17 @@
 	return t
 }
 
-// computeMaxMissing determines, for each list of shards, how many may be missing under the
-// strictest MinShare of the queries over it, and sets MaxMissing of these queries.
-func (t *Table) computeMaxMissing() {
-	maxMissing := make([]int, len(t.shardSets))
-	for i, set := range t.shardSets {
-		maxMissing[i] = len(set)
-		for _, r := range t.config.Routes {
-			if r.Query != nil && slices.Equal(r.Query.Shards, set) {
-				maxMissing[i] = min(maxMissing[i], len(set)-int(math.Ceil(r.Query.MinShare*float64(len(set)))))
-			}
-		}
-	}
-	for _, entries := range t.byHost {
-		for _, e := range entries {
-			if e.Query != nil {
-				e.MaxMissing = maxMissing[slices.IndexFunc(t.shardSets, func(set []string) bool { return slices.Equal(set, e.Query.Shards) })]
-			}
-		}
-	}
-}
-
-func (t *Table) addShards(q *Query) {
-	if q == nil {
-		return
-	}
-	if !slices.ContainsFunc(t.shardSets, func(set []string) bool { return slices.Equal(set, q.Shards) }) {
-		t.shardSets = append(t.shardSets, q.Shards)
+// addShards adds the shards of a query and returns the index of their list in shardSets.
+func (t *Table) addShards(q *Query) int {
+	i := slices.IndexFunc(t.shardSets, func(set []string) bool { return slices.Equal(set, q.Shards) })
+	if i >= 0 {
+		return i
 	}
+	t.shardSets = append(t.shardSets, q.Shards)
 	for _, shard := range q.Shards {
 		t.shards[shard] = true
 	}
+	return len(t.shardSets) - 1
 }
 
 // ShardSets returns the distinct lists of shards of the queries, in the order given. Lists
