Applying a configuration gives way to requests in progress

What callers saw: replies of servers that had arrived waited, and hedges were late, until a version was in force. On one processor a goroutine that computes is preempted each 10 ms at the earliest, which are 75 ms on 0.134 of a core, and the network is polled as rarely.

runtime.Gosched helps a goroutine that waits for a timer, and not one that waits for a reply: the scheduler takes the goroutine that gave way from its queue before it polls the network.

Order and all-or-nothing are as before: the view is published at the end, in one step.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -281,11 +281,13 @@
 }
 
 func (s *state) applyConfig(e Entry, now time.Time) {
+	Yield()
 	config, err := s.decoder.DecodeConfig(e.Value)
 	if err != nil {
 		s.log.Error().Err(err).Uint64("revision", e.Revision).Msg("failed to decode the configuration: keeping the current one")
 		return
 	}
+	Yield()
 	adopted, err := s.holder.Adopt(config)
 	if err != nil {
 		s.log.Error().Err(err).Uint64("revision", e.Revision).Msg("invalid configuration: keeping the current one")
@@ -296,6 +298,7 @@
 		s.listener.TableChanged(s.holder.Table())
 		s.log.Info().Uint64("version", config.Version).Uint64("revision", e.Revision).Int("routes", len(config.Routes)).Msg("configuration in force")
 		s.logWarnings(s.holder.Table().Warnings())
+		Yield()
 	}
 }
 
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -29,10 +29,17 @@
 	maxPeersQueried = 6
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 500 * time.Millisecond
+	// yieldTime is how long Yield sleeps. A wait for the network has this resolution.
+	yieldTime = time.Millisecond
 	// probeCheckInterval is how often suspected peers are checked for due probes.
 	probeCheckInterval = 250 * time.Millisecond
 )
 
+// Yield lets the requests in progress run during a computation that takes several milliseconds, which
+// on a host with a small share of a processor are many times as long. It sleeps because
+// runtime.Gosched does not poll the network, so that replies that have arrived would keep waiting.
+func Yield() { time.Sleep(yieldTime) }
+
 // followStore tracks the store's changes until ctx is done: through a leader in the region if
 // there is one, or else directly.
 func (c *Control) followStore(ctx context.Context) {
