Capacity: the price of a version of a large configuration

`mallowgap capacity` measures the adoption of a decoded version and the memory of its table by routes.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -39,6 +39,7 @@
 	add(measureMembers()...)
 	add(measureMessages())
 	add(measureConfigs()...)
+	add(measureRoutes()...)
 	add(measureFanOut()...)
 	add(measureSpread())
 	for _, n := range fleetSizes {
