Replies go before what else happened while a host was held up

What callers saw: 504 or a refusal although the reply of the server had arrived.

Cause: where a reply and the end of the request's time, a bar or the end of the connection are ready together, select takes any of them; a host that stood still while it applied a configuration finds all of them at once.

Change: whatever ended the wait, the replies that wait are handled first.

--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -67,6 +67,24 @@
 	})
 }
 
+// A reply that is ready when the time of its request is over, as the host was held up, must be delivered,
+// although late.
+func TestReadyReplyIsDeliveredWhenTheTimeIsOver(t *testing.T) {
+	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		g := cl.hosts["host1"]
+		for range 50 { // Which of two ready events is taken is random.
+			r, v := cl.newRequest("/one/"), g.control.View()
+			entry, _ := matchRoute(v, r)
+			q := g.newQuery(v, entry, 0, r, &trace{})
+			q.state.Sent(0, time.Time{})
+			q.events <- event{results: []result{{outcome: relaypb.Outcome_PART, signature: "s", reply: &Reply{Status: http.StatusOK}}}}
+			time.Sleep(r.Timeout)
+			q.awaitEvent(cl.ctx, time.Now())
+			assert.Equal(cl.t, q.answer(time.Now()).Outcome, Forwarded)
+		}
+	})
+}
+
 // A panic between the taking of a slot and the sending must not keep the slot taken.
 func TestPanicBeforeSendingReleasesTheSlot(t *testing.T) {
 	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -222,30 +222,32 @@
 
 // awaitEvent waits for an event or the time of the next decision, and reports whether the caller
 // has left.
-func (q *query) awaitEvent(ctx context.Context, now time.Time) bool {
+func (q *query) awaitEvent(ctx context.Context, now time.Time) (callerLeft bool) {
 	next := q.state.NextWakeup(now)
 	if !q.dispatched() && q.dispatchBy.Before(next) {
 		next = q.dispatchBy
 	}
 	timer := time.NewTimer(max(next.Sub(now), 0))
 	defer timer.Stop()
+	var afterReplies func()
 	select {
 	case e := <-q.events:
 		q.handleEvent(e)
-		q.drainEvents()
 	case <-q.barChanged:
-		q.barChanged = q.gateway.guard.BarredSignal()
-		q.checkBarred()
+		afterReplies = q.checkBarred
 	case <-q.resumed:
-		q.applySuspension()
+		afterReplies = q.applySuspension
 	case <-q.gateway.aborting:
-		q.drainEvents()
 	case <-timer.C:
 	case <-ctx.Done():
-		q.drainEvents() // An answer that is ready is delivered.
-		return true
+		callerLeft = true
 	}
-	return false
+	// A host that was held up finds replies beside whatever else happened meanwhile.
+	q.drainEvents()
+	if afterReplies != nil {
+		afterReplies()
+	}
+	return callerLeft
 }
 
 // drainEvents handles the events that are ready, without waiting.
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -249,6 +249,7 @@
 // checkBarred records whether the request has become barred, unless this query is its claimed
 // trial.
 func (q *query) checkBarred() {
+	q.barChanged = q.gateway.guard.BarredSignal()
 	if !q.trial.probation && q.gateway.guard.Standing(q.fingerprint()) == quarantine.Barred {
 		q.trial.barred = true
 	}
