Times that a relay tells are bounded

A relay tells in microseconds how long a server would let a request wait. A large value overflowed to a negative duration, the shard was due again at once, and the query called the relay again and again without a pause: a core was busy with it until the request's timeout, and with it all requests of a small host. The same held for the time at the server, which goes into the latency of the route.

Both are bounded where they are read: a wait by the timeout of the route, the time at the server by the time of the call.

TestWaitOutOfRangeIsBounded failed before (more than 100 calls at once). The tests have more servers now, so that more relayed requests run rather than being refused for lack of a slot.

--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -45,9 +45,21 @@
 	return c
 }
 
+// answeredServers returns two servers of each shard, and eight of the service with few connections.
+func answeredServers() []discovery.Server {
+	servers := serversOf(append(shardNames(answeredShards), "single"), "a1", "b1")
+	for i := range 3 {
+		for _, s := range serversOf([]string{"single"}, "a1", "b1") {
+			s.ID, s.Address = fmt.Sprint(s.ID, "-", i), fmt.Sprint(s.Address, "-", i)
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // withAnsweredCluster runs a test on a new cluster whose hosts know each other.
 func withAnsweredCluster(t *testing.T, run func(cl *cluster)) {
-	withCluster(t, answeredConfig(1), serversOf(append(shardNames(answeredShards), "single"), "a1", "b1"), answeredHosts, func(cl *cluster) {
+	withCluster(t, answeredConfig(1), answeredServers(), answeredHosts, func(cl *cluster) {
 		time.Sleep(2 * time.Second)
 		run(cl)
 	})
@@ -216,7 +228,7 @@
 // A request whose servers crash while they run it, and their entries disappear, must be answered.
 func TestRequestIsAnsweredWhenServersCrash(t *testing.T) {
 	withAnsweredCluster(t, func(cl *cluster) {
-		servers := serversOf(append(shardNames(answeredShards), "single"), "a1", "b1")
+		servers := answeredServers()
 		for _, s := range servers {
 			cl.backends.setExited(s.ID, true)
 			cl.backends.set(s.ID, dropConnection)
@@ -420,23 +432,25 @@
 		cl.store.PutConfig(c)
 	},
 	"a service loses its servers": func(cl *cluster, _ uint64) {
-		for _, s := range serversOf([]string{"single", "shard0"}, "a1", "b1") {
-			cl.store.RemoveServer(s.ID)
+		for _, s := range answeredServers() {
+			if s.Service == "single" || s.Service == "shard0" {
+				cl.store.RemoveServer(s.ID)
+			}
 		}
 	},
 	"all servers are gone": func(cl *cluster, _ uint64) {
-		for _, s := range serversOf(append(shardNames(answeredShards), "single"), "a1", "b1") {
+		for _, s := range answeredServers() {
 			cl.store.RemoveServer(s.ID)
 		}
 	},
 	"all servers drain": func(cl *cluster, _ uint64) {
-		for _, s := range serversOf(append(shardNames(answeredShards), "single"), "a1", "b1") {
+		for _, s := range answeredServers() {
 			s.Draining = true
 			cl.store.PutServer(s)
 		}
 	},
 	"all servers are replaced": func(cl *cluster, _ uint64) {
-		for _, s := range serversOf(append(shardNames(answeredShards), "single"), "a1", "b1") {
+		for _, s := range answeredServers() {
 			s.StartedAtMillis, s.ColdDuration = 2e12, 5*time.Second
 			cl.store.PutServer(s)
 		}
@@ -574,7 +588,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, seed))
 			withAnsweredCluster(t, func(cl *cluster) {
-				for _, s := range serversOf(append(shardNames(answeredShards), "single"), "a1", "b1") {
+				for _, s := range answeredServers() {
 					if rng.IntN(3) > 0 {
 						cl.backends.set(s.ID, serverFailures[servers[rng.IntN(len(servers))]])
 					}
@@ -822,7 +836,7 @@
 	for name, teams := range map[string][]team.Team{"gone": nil, "key": {other}, "limit of nothing": {limitless}, "no limit": {unlimited}, "invalid limit": {invalid}, "key of two teams": {red, {Name: "blue", Keys: red.Keys}}} {
 		t.Run(name, func(t *testing.T) {
 			for _, at := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, 130 * time.Millisecond} {
-				withCluster(t, configOf(1, red), serversOf(append(shardNames(answeredShards), "single"), "a1", "b1"), answeredHosts, func(cl *cluster) {
+				withCluster(t, configOf(1, red), answeredServers(), answeredHosts, func(cl *cluster) {
 					time.Sleep(2 * time.Second)
 					cl.setAll(append(shardNames(answeredShards), "single"), answerAt(120*time.Millisecond))
 					served := make(chan servedRequest)
@@ -845,3 +859,25 @@
 		})
 	}
 }
+
+// A relay that tells a wait out of range must not be called again at once and without end: the wait
+// overflowed to a time in the past.
+func TestWaitOutOfRangeIsBounded(t *testing.T) {
+	const enough = 100 // Calls of one request, each of which could follow the one before after 10 ms.
+	servers := append(serversOf(shardNames(1), "b1"), serversOf([]string{"single"}, "a1")...)
+	withCluster(t, shardedConfig(1, 1), servers, threeRegions[:2], func(cl *cluster) {
+		for _, wait := range []uint64{math.MaxUint64, math.MaxUint64 / 2, math.MaxInt64 / 1000, math.MaxInt64/1000 + 1} {
+			calls := 0
+			cl.hosts["host1"].adapters.Peers = &rewritingPeers{cl.peers, func(_ context.Context, received deliver, _ func(deliver) error) error {
+				if calls++; calls > enough {
+					time.Sleep(leafServiceTime) // Otherwise the test would not end.
+				}
+				received(&relaypb.GatherReply{Last: true, Results: []*relaypb.CallResult{{Outcome: relaypb.Outcome_NOT_SENT, WaitUs: wait}}})
+				return nil
+			}}
+			a := cl.ask("host1", "/q/x")
+			assert.Equal(cl.t, a.Outcome, NotRun, "%+v", a)
+			assert.Assert(cl.t, calls > 0 && calls <= enough, "%d calls with a wait of %d µs", calls, wait)
+		}
+	})
+}
--- a/internal/gateway/relaywire.go
+++ b/internal/gateway/relaywire.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/packing"
@@ -44,6 +45,12 @@
 	return &Reply{Status: int(r.GetStatus()), Header: decodeHeader(r.GetHeaders()), Body: r.GetBody(), Signature: signature}
 }
 
+// durationOf returns a duration in microseconds that a peer sent, or limit if that is shorter. Without a
+// limit, a large value would overflow to a negative duration.
+func durationOf(micros uint64, limit time.Duration) time.Duration {
+	return time.Duration(min(micros, uint64(max(limit, 0).Microseconds()))) * time.Microsecond
+}
+
 // isFinalStatus reports whether a status is that of a final HTTP response, and can be sent.
 func isFinalStatus(status uint32) bool { return status >= http.StatusOK && status <= maxStatus }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -341,7 +341,7 @@
 		shard: a.shard, outcome: r.GetOutcome(), signature: r.GetSignature(),
 		server: a.call.backend.ID, reason: r.GetReason(), elapsed: elapsed,
 		serverCrashed: r.GetServerEnded(), connectionLost: r.GetBrokeOff(), barred: r.GetBarred(),
-		unreachable: r.GetUnreachable(), absent: r.GetAbsent(), wait: time.Duration(r.GetWaitUs()) * time.Microsecond,
+		unreachable: r.GetUnreachable(), absent: r.GetAbsent(), wait: durationOf(r.GetWaitUs(), rc.query.entry.Timeout),
 	}
 	if reply := r.GetReply(); reply != nil {
 		out.reply = decodeReply(reply, r.GetSignature())
@@ -361,7 +361,7 @@
 	if err := rc.checkResult(r); err != nil {
 		out.outcome, out.reply, out.reason, evidence = relaypb.Outcome_FAILED, nil, err.Error(), callInconclusive
 	}
-	atServer := time.Duration(r.GetElapsedUs()) * time.Microsecond
+	atServer := durationOf(r.GetElapsedUs(), elapsed)
 	out.load = Load{Known: evidence == callServed || evidence == callRefused, Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlownessPercent()) / 100}
 	change := a.call.end(callEnd{result: evidence, elapsed: elapsed, atServer: serverTime(out, atServer), load: out.load, absent: out.absent || out.serverCrashed}, now)
 	out.runTime = change.runTime
