--- /dev/null
+++ b/internal/callerconn/tracker.go
@@ -0,0 +1,136 @@
+// Package callerconn tracks the connections of callers and closes those that are idle.
+//
+// http.Server reports that a connection is in use only once the header of a request is parsed. Until
+// then a sweep by that state, and http.Server.Shutdown, close connections of which a request was
+// read already. Here a connection is in use from the first byte of a request, and only the goroutine
+// that reads from it ends it, when a read brings no byte: no request that was read is lost.
+package callerconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mallowgap/mallowgap/internal/pause"
+)
+
+const (
+	// freshGrace is how long Drain waits for the first request of a connection.
+	freshGrace = 500 * time.Millisecond
+	// drainInterval is the interval at which Drain closes idle connections.
+	drainInterval = 10 * time.Millisecond
+)
+
+// Expired reports whether to close a connection that has been idle for the given time. A fresh
+// connection has had no request yet; its idle time counts from when it was accepted.
+type Expired func(idle time.Duration, fresh bool) bool
+
+// Tracker tracks the connections of an http.Server. It is safe for concurrent use.
+type Tracker struct {
+	// headerTimeout limits the time to read the header of a request; 0 is no limit.
+	headerTimeout time.Duration
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+	// listeners counts the listeners that may still accept a connection.
+	listeners int
+}
+
+// NewTracker returns a tracker without connections.
+func NewTracker() *Tracker { return &Tracker{conns: map[*Conn]struct{}{}} }
+
+// Listen returns a listener whose connections are tracked.
+func (t *Tracker) Listen(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listeners++
+	return &listener{Listener: l, tracker: t}
+}
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+	ended   bool
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	if err != nil {
+		if errors.Is(err, net.ErrClosed) && !l.ended {
+			l.ended = true
+			l.tracker.listeners--
+		}
+		return nil, err
+	}
+	c := newConn(conn, l.tracker)
+	l.tracker.conns[c] = struct{}{}
+	return c, nil
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// Configure makes a server report to the tracker. The server must serve a listener that Listen
+// returned.
+func (t *Tracker) Configure(s *http.Server) {
+	t.headerTimeout = s.ReadHeaderTimeout
+	next := s.Handler
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if conn, ok := c.(*Conn); ok && state == http.StateIdle {
+			conn.setIdle(time.Now())
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			c.begin()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// CloseIdle closes the idle connections for which expired reports true.
+func (t *Tracker) CloseIdle(now time.Time, expired Expired) {
+	open, _ := t.all()
+	for _, c := range open {
+		c.closeIdle(now, Idle, expired)
+	}
+}
+
+// Drain closes connections as they become idle, until none is open and none can be accepted, or ctx
+// is done, and returns how many are open. The listener must be closed before.
+func (t *Tracker) Drain(ctx context.Context) int {
+	for {
+		open, accepting := t.all()
+		if len(open) == 0 && !accepting || ctx.Err() != nil {
+			return len(open)
+		}
+		for _, c := range open {
+			c.closeIdle(time.Now(), Stopping, func(idle time.Duration, fresh bool) bool { return !fresh || idle > freshGrace })
+		}
+		pause.Sleep(ctx, drainInterval)
+	}
+}
+
+// all returns the open connections and whether more may be accepted.
+func (t *Tracker) all() (conns []*Conn, accepting bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conns = make([]*Conn, 0, len(t.conns))
+	for c := range t.conns {
+		conns = append(conns, c)
+	}
+	return conns, t.listeners > 0
+}
+
+func (t *Tracker) remove(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -116,7 +117,7 @@
 		assert.Equal(t, len(lines), 2, log.String())
 		for line, wants := range map[string][]string{
 			lines[0]: {`"stack":"goroutine`, `"fault":"runtime error`, `"route":"query"`},
-			lines[1]: {`"message":"request"`, `"outcome":"failed"`, `"cause":"panic"`, "runtime error"},
+			lines[1]: {`"message":"request"`, `"outcome":"failed"`, `"cause":"panic"`, "runtime error", "shard0@a1"},
 		} {
 			for _, want := range append(wants, fmt.Sprintf(`"request":%q`, r.ID), `"version":7`) {
 				assert.Check(t, strings.Contains(line, want), "%s is not in %s", want, line)
@@ -164,19 +165,78 @@
 	})
 }
 
-// A response that a panic cut must be counted and told with the identifier of its request.
-func TestPanicThatCutsAResponseIsCounted(t *testing.T) {
-	withCluster(t, shardedConfig(7, 1), nil, oneHost, func(cl *cluster) {
+// The end of a caller's connection must stop the work, be answered truly and be told with its cause.
+func TestEndOfTheConnectionIsAnsweredTruly(t *testing.T) {
+	config := limitedConfig()
+	config.Teams[0].Limit.PerSecond = 1
+	withQuotas(t, config, func(cl *cluster) {
 		var log strings.Builder
-		g := cl.hosts["host1"]
-		g.requestLog = newRequestLog(zerolog.New(&log), 1000)
+		g := cl.hosts["h1"]
+		g.requestLog = newRequestLog(zerolog.New(zerolog.SyncWriter(&log)), 1000)
+		time.Sleep(40 * time.Second)
+		ctx, end := context.WithCancelCause(cl.ctx)
+		time.AfterFunc(leafServiceTime/2, func() { end(errors.New("connection reset by the test")) })
+		a := g.Serve(ctx, cl.requestWith("/one/", "Bearer red-secret"))
+		assert.Assert(t, a.Outcome == CallerLeft && a.Sent && a.RetryAfter == 0, "%+v", a)
+		assert.Assert(t, strings.Contains(log.String(), "connection reset by the test"), log.String())
+		arrivals := cl.backends.arrivals("single")
+		for range 2 * int(redLimit.Burst) {
+			a = g.Serve(ctx, cl.requestWith("/one/", "Bearer red-secret"))
+			assert.Assert(t, a.Outcome == CallerLeft && !a.Sent && a.RetryAfter > 0, "%+v", a)
+		}
+		assert.Equal(t, cl.backends.arrivals("single"), arrivals, "nothing may be sent for a caller that has left")
+		time.Sleep(time.Second)
+		assert.Equal(t, cl.askWith("h1", "/one/", "Bearer red-secret").Outcome, Forwarded, "what was not sent must not count against the limit")
+	})
+}
+
+// A request without a whole answer must be counted by its cause and told from its identifier alone.
+func TestUnansweredRequestsAreCounted(t *testing.T) {
+	withCluster(t, shardedConfig(7, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+		g, r := cl.hosts["host1"], cl.newRequest("/one/x")
+		a := g.Serve(cl.ctx, r)
+		for cause, report := range map[unansweredCause]func(){
+			unansweredWriteFailed: func() { g.ReportUnanswered(cl.ctx, r, a, errors.New("broken")) },
+			unansweredCallerLeft:  func() { g.ReportUnanswered(cl.ctx, r, Answer{Outcome: CallerLeft, Version: 7}, errors.New("broken")) },
+			unansweredPanic:       func() { g.ReportPanic(cl.ctx, r.ID, "broken", false) },
+		} {
+			var log strings.Builder
+			g.requestLog = newRequestLog(zerolog.New(&log), 1000)
+			before := unanswered[cause].Get()
+			report()
+			assert.Equal(t, unanswered[cause].Get(), before+1)
+			for _, want := range []string{r.ID, `"broken"`, `"version":7`} {
+				assert.Check(t, strings.Contains(log.String(), want), "%s is not in %s", want, log.String())
+			}
+		}
 		before := unanswered[unansweredPanic].Get()
-		g.ReportPanic(cl.ctx, "r1", "broken", true)
-		assert.Equal(t, unanswered[unansweredPanic].Get(), before)
-		g.ReportPanic(cl.ctx, "r2", "broken", false)
-		assert.Equal(t, unanswered[unansweredPanic].Get(), before+1)
-		for _, want := range []string{`"request":"r2"`, `"answered":false`, `"version":7`, `"fault":"broken"`} {
-			assert.Check(t, strings.Contains(log.String(), want), "%s is not in %s", want, log.String())
+		g.ReportPanic(cl.ctx, r.ID, "broken", true)
+		assert.Equal(t, unanswered[unansweredPanic].Get(), before, "its caller was answered")
+	})
+}
+
+// replylessPeers drops the servers' replies from what relays send.
+type replylessPeers struct{ PeerClient }
+
+func (p replylessPeers) Gather(ctx context.Context, address string, m *relaypb.GatherRequest, received func(*relaypb.GatherReply)) error {
+	return p.PeerClient.Gather(ctx, address, m, func(reply *relaypb.GatherReply) {
+		for _, r := range reply.GetResults() {
+			r.Reply = nil
+		}
+		received(reply)
+	})
+}
+
+// A relay that reports success without the reply of the server must not make the request panic.
+func TestSuccessWithoutAReplyIsAFailure(t *testing.T) {
+	withCluster(t, fewConnectionsConfig(), serversOf([]string{"single"}, "a1"), eightHosts, func(cl *cluster) {
+		time.Sleep(2 * time.Second) // The hosts learn of each other.
+		outcomes, panics := map[Outcome]int{}, panicsRecovered.Get()
+		for _, host := range eightHosts {
+			cl.hosts[host.name].adapters.Peers = replylessPeers{cl.peers}
+			outcomes[cl.ask(host.name, "/once/x").Outcome]++
 		}
+		assert.DeepEqual(t, outcomes, map[Outcome]int{Forwarded: 2, Failed: 6})
+		assert.Equal(t, panicsRecovered.Get(), panics)
 	})
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,9 @@
 // serversAbsent counts the servers found to be absent: nothing listened at the address any more.
 var serversAbsent = metrics.GetOrCreateCounter("mallowgap_servers_absent_total")
 
+// httpServerErrors counts the errors that the HTTP servers of this process logged.
+var httpServerErrors = metrics.GetOrCreateCounter("mallowgap_http_server_errors_total")
+
 var (
 	// sharedLoads is the number of servers that the coordinator told to be loaded; sharedLoadsTime,
 	// when it last told any load, in Unix seconds.
@@ -25,12 +28,16 @@
 type unansweredCause string
 
 const (
+	// unansweredCallerLeft: the connection ended before the request was served.
+	unansweredCallerLeft unansweredCause = "caller_left"
+	// unansweredWriteFailed: the connection ended while the answer was written.
+	unansweredWriteFailed unansweredCause = "write_failed"
 	// unansweredPanic: a panic cut the response.
 	unansweredPanic unansweredCause = "panic"
 )
 
 // unanswered counts the requests that were read whole and got no whole answer.
-var unanswered = newUnansweredCounters(unansweredPanic)
+var unanswered = newUnansweredCounters(unansweredCallerLeft, unansweredWriteFailed, unansweredPanic)
 
 func newUnansweredCounters(causes ...unansweredCause) map[unansweredCause]*metrics.Counter {
 	counters := map[unansweredCause]*metrics.Counter{}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -81,6 +81,8 @@
 	stopCalls context.CancelFunc
 	// barChanged is closed when some request becomes barred.
 	barChanged <-chan struct{}
+	// unsent holds the calls whose slots were taken and that are not sent yet.
+	unsent []*call
 	// askOrder decides which scarce shards are asked; skipped lists the shards that are currently not
 	// asked.
 	askOrder *scarcity.AskOrder
@@ -148,7 +150,8 @@
 	defer q.releaseCalls(ctx)
 	for {
 		now := time.Now()
-		if now.Before(q.end) {
+		aborting := q.gateway.isAborting()
+		if now.Before(q.end) && !aborting {
 			q.launch(callCtx, now)
 		}
 		if q.trial.barred {
@@ -163,10 +166,16 @@
 		if q.state.Finished(now) || q.onlySkippedRemain() {
 			return q.answer(now)
 		}
+		if aborting {
+			return q.abortedAnswer(now)
+		}
 		if !q.dispatched() && !now.Before(q.dispatchBy) {
 			return notRun(q.cause, q.failure, q.retryAfter())
 		}
 		if callerLeft := q.awaitEvent(ctx, now); callerLeft {
+			if q.state.Finished(time.Now()) {
+				return q.answer(time.Now())
+			}
 			return Answer{Outcome: CallerLeft, Cause: CauseCallerLeft, Reason: "the caller closed its connection"}
 		}
 		if callCtx.Err() != nil {
@@ -229,8 +238,11 @@
 		q.checkBarred()
 	case <-q.resumed:
 		q.applySuspension()
+	case <-q.gateway.aborting:
+		q.drainEvents()
 	case <-timer.C:
 	case <-ctx.Done():
+		q.drainEvents() // An answer that is ready is delivered.
 		return true
 	}
 	return false
@@ -272,8 +284,9 @@
 	}
 }
 
+// keepReply keeps the reply of a server, unless another one has served the request already.
 func (q *query) keepReply(r result) {
-	if r.reply != nil {
+	if r.reply != nil && !q.state.Covered(r.shard) {
 		q.reply = r.reply
 	}
 }
@@ -332,9 +345,7 @@
 		q.noteConnectionLost(r)
 	}
 	q.state.Ended(r.shard)
-	if r.reply != nil {
-		q.reply = r.reply
-	}
+	q.keepReply(r)
 	if !q.entry.Idempotent || r.isFinal() {
 		q.state.GiveUp(r.shard)
 	}
@@ -370,6 +381,17 @@
 	return Answer{Outcome: Failed, Cause: q.cause, Reason: q.failure}
 }
 
+// abortedAnswer returns the answer of a query that is not finished when a graceful shutdown ends: what
+// has arrived if it suffices, otherwise whether the request may have run.
+func (q *query) abortedAnswer(now time.Time) Answer {
+	a := q.answer(now)
+	if a.Outcome == Failed || a.Outcome == NotRun {
+		a.Cause, a.Reason = CauseStopping, "the host that served the request stops"
+		q.gateway.aborted.Add(1)
+	}
+	return a
+}
+
 func (q *query) success() Answer {
 	if q.entry.Query == nil {
 		return Answer{Outcome: Forwarded, Reply: q.reply}
