A panic of the control goroutine ends a piece of its work, not the process

What callers would see: all hosts end together, with every request in flight, since all of them read the same entries. The recovery of single entries left out what follows: the change of servers in the request path, the publication, expiry.

Change: each piece of work is contained, told and counted; the view is published and followers hear of it also if the request path panics at the change.

Evidence: TestPanicOfAListenerDoesNotEndTheControlState ended the test process before and passes now.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +87,12 @@
 	initialized chan struct{}
 }
 
+// panicsRecovered counts panics of the control goroutine that are not those of a single entry.
+var panicsRecovered = metrics.GetOrCreateCounter("mallowgap_faults_contained_total")
+
+// maxStackBytes limits the stack trace in a log line, in bytes.
+const maxStackBytes = 2000
+
 // entriesSkipped counts entries whose processing panicked.
 var entriesSkipped = metrics.GetOrCreateCounter("mallowgap_entries_left_out_total")
 
@@ -112,7 +120,7 @@
 func (s *state) do(ctx context.Context, action func()) {
 	done := make(chan struct{})
 	select {
-	case s.actions <- func() { action(); close(done) }:
+	case s.actions <- func() { defer close(done); action() }:
 	case <-ctx.Done():
 		return
 	}
@@ -131,13 +139,26 @@
 		case <-ctx.Done():
 			return
 		case action := <-s.actions:
-			action()
+			s.contain("action", action)
 		case <-ticker.C:
-			s.expire(time.Now())
+			s.contain("expiry", func() { s.expire(time.Now()) })
 		}
 	}
 }
 
+// contain runs a part of the work of the control goroutine, which goes on if it panics: all hosts read
+// the same entries, and the panic would end them all.
+func (s *state) contain(work string, fn func()) {
+	defer func() {
+		if value := recover(); value != nil {
+			panicsRecovered.Inc()
+			stack := debug.Stack()
+			s.log.Error().Str("work", work).Str("fault", fmt.Sprint(value)).Bytes("stack", stack[:min(len(stack), maxStackBytes)]).Msg("recovered from a panic: the control state goes on as far as it got")
+		}
+	}()
+	fn()
+}
+
 // expire removes entries that disappeared during an outage and were not written again in
 // time.
 func (s *state) expire(now time.Time) {
@@ -452,7 +473,7 @@
 		s.log.Info().Bool("ready", v.Ready).Bool("stopping", s.stopping).Msg("readiness changed")
 	}
 	shareOf := func(server discovery.Server) Share { return v.Share(server, s.relaysPerDomain) }
-	s.listener.ServersChanged(s.registry.Servers(), shareOf, now)
+	s.contain("change of servers", func() { s.listener.ServersChanged(s.registry.Servers(), shareOf, now) })
 	outdated := s.changed
 	s.changed = make(chan struct{})
 	v.Superseded = s.changed
--- a/internal/control/view_test.go
+++ b/internal/control/view_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,3 +120,29 @@
 	s.applyBatch(Batch{Revision: 3, Entries: fleetEntries(60, 1, 3)}, now)
 	assert.Equal(t, s.view().BudgetSharers, 60)
 }
+
+// panickingListener panics at a change of servers, like a fault in the request path.
+type panickingListener struct{ noopListener }
+
+func (panickingListener) ServersChanged([]discovery.Server, func(discovery.Server) Share, time.Time) {
+	panic("injected by the test")
+}
+
+// A panic while a state is published must not end the process, and must not keep followers and waiting
+// requests from hearing of the state.
+func TestPanicOfAListenerDoesNotEndTheControlState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newState(jsonDecoder{}, panickingListener{}, Host{Name: "host0", Domain: "d0", Region: "r"}, 3, zerolog.Nop())
+		go s.run(ctx)
+		changed := s.changed
+		s.do(ctx, func() { s.applyBatch(Batch{Revision: 1, Entries: fleetEntries(60, 1, 1)}, time.Now()) })
+		<-changed
+		assert.Equal(t, s.view().HostCount, 60)
+		s.do(ctx, func() { panic("injected by the test") })
+		s.do(ctx, func() { s.applyBatch(Batch{Revision: 2, Entries: fleetEntries(20, 1, 2)}, time.Now()) })
+		assert.Equal(t, s.view().HostCount, 20)
+		cancel()
+		synctest.Wait()
+	})
+}
