A panic while servers are listed releases the lock of their group

What callers saw: a recovered panic while the versions or the observations of a service's servers were read left the lock of the group held. Every later request of the service on this host waited for it without an answer.

Cause: serverVersions and fleet.observations unlocked at the end of a loop body, not by defer.

Change: each reads one group in a method that unlocks by defer.

--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -82,15 +82,20 @@
 // observations returns the observations of the services' servers in the host's failure domain.
 func (f *fleet) observations(services []string, now time.Time) (ids []string, observed []replica.Observation) {
 	for _, service := range services {
-		g := f.group(service)
-		g.mu.Lock()
-		for _, b := range g.members {
-			if b.Domain == f.location.domain {
-				ids = append(ids, b.ID)
-				observed = append(observed, b.leaf.Observation(now))
-			}
+		ids, observed = f.group(service).addObservations(f.location.domain, now, ids, observed)
+	}
+	return ids, observed
+}
+
+// addObservations appends the observations of the servers in a failure domain.
+func (g *group) addObservations(domain string, now time.Time, ids []string, observed []replica.Observation) ([]string, []replica.Observation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.members {
+		if b.Domain == domain {
+			ids = append(ids, b.ID)
+			observed = append(observed, b.leaf.Observation(now))
 		}
-		g.mu.Unlock()
 	}
 	return ids, observed
 }
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -275,13 +275,19 @@
 func serverVersions(groups []*group) []string {
 	var found []string
 	for _, g := range groups {
-		g.mu.Lock()
-		for _, b := range g.members {
-			if !slices.Contains(found, b.Version) {
-				found = append(found, b.Version)
-			}
+		found = g.addVersions(found)
+	}
+	return found
+}
+
+// addVersions appends the software versions of the servers in service that are not in found.
+func (g *group) addVersions(found []string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.members {
+		if !slices.Contains(found, b.Version) {
+			found = append(found, b.Version)
 		}
-		g.mu.Unlock()
 	}
 	return found
 }
