A panic of the meter releases the account

What callers saw: a recovered panic of the meter left the account of this host locked. Every later request of a team with a limit waited for it without an answer.

Cause: take and giveBack unlocked in several places, not by defer.

Change: takeOrAsk decides under a lock that is released by defer; giveBack unlocks by defer.

Evidence: TestPanicOfTheMeterReleasesTheAccount failed before and passes.

--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -143,25 +143,30 @@
 
 func (a *account) take(ctx context.Context, team string, limit quota.Limit, caller Caller) Ruling {
 	began := time.Now()
+	r, asked := a.takeOrAsk(team, limit, caller, began)
+	if asked == nil {
+		return r
+	}
+	return a.await(ctx, asked, limit, r, began)
+}
+
+// takeOrAsk decides on a request, or returns the ask that it queued for it.
+func (a *account) takeOrAsk(team string, limit quota.Limit, caller Caller, now time.Time) (Ruling, *ask) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.hosts == 0 { // Its fraction of the limit is not known.
-		a.mu.Unlock()
-		return Ruling{Decision: quota.Decision{Action: quota.Refuse, RetryAfter: askTimeout}, By: ByFraction}
+		return Ruling{Decision: quota.Decision{Action: quota.Refuse, RetryAfter: askTimeout}, By: ByFraction}, nil
 	}
-	d := a.meter.Take(team, limit, began)
+	d := a.meter.Take(team, limit, now)
 	r := Ruling{Decision: d, By: ByHost, Coordinator: a.coordinator, Hosts: a.hosts}
-	if d.Action != quota.AskFirst {
-		a.mu.Unlock()
-		if r.Coordinator == "" || d.Action == quota.Refuse {
-			r.By = ByFraction
-		}
-		signal(a.news)
-		return r
+	if d.Action == quota.AskFirst {
+		return r, a.ask(team, caller)
 	}
-	asked := a.ask(team, caller)
-	a.mu.Unlock()
-	signal(a.asked)
-	return a.await(ctx, asked, limit, r, began)
+	if r.Coordinator == "" || d.Action == quota.Refuse {
+		r.By = ByFraction
+	}
+	signal(a.news)
+	return r, nil
 }
 
 // ask queues an ask for one request. The caller holds mu.
@@ -176,6 +181,7 @@
 		a.unsent = append(a.unsent, asked)
 	}
 	asksTotal.Inc()
+	signal(a.asked)
 	return asked
 }
 
@@ -219,8 +225,8 @@
 
 func (a *account) giveBack(team string, now time.Time) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.meter.Return(team, now)
-	a.mu.Unlock()
 	signal(a.news)
 }
 
