All locks of the gateway are released by defer

A panic in the goroutine of a request or a call is recovered, so a lock that it leaves held stops all later requests that need it. Further locks were released without defer: callerconn (Write, Close), fleet.group, link.offer and httppool (CloseIdle, CloseExpired). None of these is known to have panicked.

Change: each is released by defer, in a method of its own where more follows.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -89,18 +89,26 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.readSinceWrite = false
-	c.mu.Unlock()
+	c.beginWrite()
 	n, err := c.Conn.Write(p)
 	if err != nil {
-		c.mu.Lock()
-		c.noteEnd(endOf(err))
-		c.mu.Unlock()
+		c.noteWriteError(err)
 	}
 	return n, err
 }
 
+func (c *Conn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readSinceWrite = false
+}
+
+func (c *Conn) noteWriteError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteEnd(endOf(err))
+}
+
 // SetReadDeadline implements net.Conn. It does not postpone a close.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -123,19 +131,23 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	if end, first := c.noteClose(); first {
+		c.tracker.remove(c)
+		ended[end].Inc()
+	}
+	return c.Conn.Close()
+}
+
+// noteClose records that the connection is closed and returns why it ended, and whether it was open.
+func (c *Conn) noteClose() (end End, first bool) {
 	c.mu.Lock()
-	first := !c.closed
+	defer c.mu.Unlock()
+	first = !c.closed
 	if c.end == Open {
 		c.end = Closed
 	}
 	c.closed = true
-	end := c.end
-	c.mu.Unlock()
-	if first {
-		c.tracker.remove(c)
-		ended[end].Inc()
-	}
-	return c.Conn.Close()
+	return c.end, first
 }
 
 // begin records that a request is served. A request that was read together with the one before it
--- a/internal/coordination/link.go
+++ b/internal/coordination/link.go
@@ -36,15 +36,12 @@
 // offer merges a message into the one to send next. It does not block.
 func (l *link) offer(m *relaypb.CoordinateVerdict) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.pending == nil {
 		l.pending = &relaypb.CoordinateVerdict{}
 	}
 	merge(l.pending, m)
-	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	signal(l.wake)
 }
 
 // merge replaces the lists of a message by those of a later one, its loads by server, and appends its
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -132,10 +132,7 @@
 
 // group returns the group of a service, creating an empty one if necessary.
 func (f *fleet) group(service string) *group {
-	f.mu.RLock()
-	g := f.groups[service]
-	f.mu.RUnlock()
-	if g != nil {
+	if g := f.knownGroup(service); g != nil {
 		return g
 	}
 	f.mu.Lock()
@@ -143,6 +140,13 @@
 	return f.groupLocked(service)
 }
 
+// knownGroup returns the group of a service, or nil if there is none.
+func (f *fleet) knownGroup(service string) *group {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.groups[service]
+}
+
 func (f *fleet) groupLocked(service string) *group {
 	g := f.groups[service]
 	if g == nil {
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -229,19 +229,29 @@
 
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
+	for _, c := range p.removeIdle(address) {
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) removeIdle(address string) []*conn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	conns := p.idle[address]
 	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-	}
+	return conns
 }
 
 // CloseExpired closes the idle connections that have expired.
 func (p *Pool) CloseExpired(now time.Time) {
+	for _, c := range p.removeExpired(now) {
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) removeExpired(now time.Time) (expired []*conn) {
 	p.mu.Lock()
-	var expired []*conn
+	defer p.mu.Unlock()
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
@@ -255,10 +265,7 @@
 			delete(p.idle, address)
 		}
 	}
-	p.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Close()
-	}
+	return expired
 }
 
 // exchange sends a request and reads its response. It also returns whether the
