The end of a caller's context is not silence of the coordinator

What callers saw: by the code, not played: each request whose connection or time ended while the coordinator was asked counted as unanswered by it. From such answers the meter concludes that the host is alone and may go by its own fraction of the team's limit, and mallowgap_quota_asks_unanswered_total tells of a slow coordinator.

Cause: await went the same way whether its timer fired or the context ended.

Change: if the context ends within askTimeout, the request is undecided (quota.AskFirst): the meter is told nothing, and a grant that comes later is returned as before. Such a request was never counted, so the account remembers by team that giving it back takes nothing from the count.

A request whose own time ends during the ask gets not_run with an empty cause now, where the host's fraction refused it as over_limit before; takeQuota in the gateway should tell that its time is over.

--- a/internal/coordination/account.go
+++ b/internal/coordination/account.go
@@ -63,6 +63,9 @@
 	unsent  []*ask
 	offered map[offeredKey]admission.Offered
 	loads   map[string]replica.ServerLoad
+	// undecided holds, by team, the requests whose context ended during their ask and that were not
+	// given back yet. They are not counted by the meter.
+	undecided map[string]int
 }
 
 // offeredKey identifies work that is reported as one.
@@ -86,6 +89,7 @@
 	return &account{
 		asked: make(chan struct{}, 1), news: make(chan struct{}, 1), meter: meter,
 		asks: map[uint64]*ask{}, offered: map[offeredKey]admission.Offered{}, loads: map[string]replica.ServerLoad{},
+		undecided: map[string]int{},
 	}
 }
 
@@ -106,7 +110,9 @@
 	Returning, Late bool
 }
 
-// Take decides on a request of a team, before it is run.
+// Take decides on a request of a team, before it is run. If ctx ends before the coordinator had its
+// time to answer, the action is quota.AskFirst: the request is undecided and must not be run. Like an
+// admitted request that was not run, it is given back by Return.
 func (c *Coordination) Take(ctx context.Context, team string, limit quota.Limit, caller Caller) Ruling {
 	if !limit.Limited() {
 		return Ruling{By: ByHost}
@@ -122,7 +128,7 @@
 	return r
 }
 
-// Return gives back a request of a limited team that was admitted and not run.
+// Return gives back a request of a limited team that was not refused and not run.
 func (c *Coordination) Return(team string) { c.account.giveBack(team, time.Now()) }
 
 // Offer reports work that was offered to admission at this host.
@@ -186,7 +192,7 @@
 }
 
 // await waits for the answer to an ask. Without one, this host decides by its own fraction of the
-// limit.
+// limit, unless ctx ended first, which tells nothing about the coordinator.
 func (a *account) await(ctx context.Context, asked *ask, limit quota.Limit, r Ruling, began time.Time) Ruling {
 	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
@@ -203,12 +209,17 @@
 		return r.granted(g, asked.coordinator, began)
 	default:
 	}
-	now := time.Now()
+	now, team := time.Now(), asked.wire.GetTeam()
 	if asked.expired = now; !a.streaming {
 		delete(a.asks, asked.wire.GetId())
 	}
+	r.Waited = now.Sub(began)
+	if r.Waited < askTimeout {
+		a.undecided[team]++
+		return r
+	}
 	unansweredTotal.Inc()
-	r.Decision, r.By, r.Waited = a.meter.Unanswered(asked.wire.GetTeam(), limit, now), ByFraction, now.Sub(began)
+	r.Decision, r.By = a.meter.Unanswered(team, limit, now), ByFraction
 	signal(a.news)
 	return r
 }
@@ -226,6 +237,12 @@
 func (a *account) giveBack(team string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if n := a.undecided[team]; n > 0 {
+		if a.undecided[team] = n - 1; n == 1 {
+			delete(a.undecided, team)
+		}
+		return
+	}
 	a.meter.Return(team, now)
 	signal(a.news)
 }
--- a/internal/coordination/account_test.go
+++ b/internal/coordination/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -60,3 +61,31 @@
 	a.take(ctx, "team", quota.Limit{PerSecond: 1, Burst: 1}, Caller{})
 	assert.Equal(t, meter.unanswered, 0, "the coordinator had no time to answer")
 }
+
+// A request whose context ends during its ask is not counted, so that giving it back must not take another
+// request out of the count of its team.
+func TestUndecidedRequestIsGivenBackUncounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		meter := &impatientMeter{}
+		a := newAccount(meter)
+		a.hosts, a.streaming = 2, true
+		for _, patience := range []time.Duration{0, askTimeout / 2, askTimeout - 1} {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			r := a.take(ctx, "team", quota.Limit{PerSecond: 1, Burst: 1}, Caller{})
+			cancel()
+			assert.Equal(t, r.Action, quota.AskFirst)
+			assert.Equal(t, r.Waited, patience)
+		}
+		a.giveBack("other", time.Now())
+		assert.Equal(t, meter.returned.Load(), int64(1))
+		for range 3 {
+			a.giveBack("team", time.Now())
+			assert.Equal(t, meter.returned.Load(), int64(1))
+		}
+		a.giveBack("team", time.Now())
+		assert.Equal(t, meter.returned.Load(), int64(2))
+		assert.Equal(t, len(a.undecided), 0)
+		assert.Equal(t, a.take(t.Context(), "team", quota.Limit{PerSecond: 1, Burst: 1}, Caller{}).Action, quota.Refuse)
+		assert.Equal(t, meter.unanswered, 1, "the coordinator had its time")
+	})
+}
