The log tells what a panic of the coordination was

coordination.contain logged the value of a panic as JSON, which is {} for the errors of the runtime, so that a line told only the stack. It logs the text now, as the gateway does, and has the gateway's name for it, recoverPanic. The two stay apart: one returns an error for the caller of a request and the other skips a message.

--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
 
@@ -256,6 +258,15 @@
 	})
 }
 
+// The log line of a panic must tell what the panic was, also if its value has no exported fields.
+func TestPanicIsToldByTheLog(t *testing.T) {
+	var log strings.Builder
+	recoverPanic(zerolog.New(&log), "tick", func() { _ = []int{}[len(log.String())] })
+	for _, want := range []string{`"work":"tick"`, `"fault":"runtime error: index out of range`, `"stack":"goroutine`} {
+		assert.Check(t, strings.Contains(log.String(), want), "%s is not in %s", want, log.String())
+	}
+}
+
 // Only a connection that was closed or reset is opened again at once.
 func TestBrokenConnectionIsToldFromOtherErrors(t *testing.T) {
 	assert.Assert(t, brokeOff(context.Canceled), "drpc: connection closed")
--- a/internal/coordination/server.go
+++ b/internal/coordination/server.go
@@ -84,15 +84,15 @@
 		select {
 		case f := <-s.posts:
 			now := time.Now()
-			contain(s.log, "tick", func() { s.catchUp(now) })
-			contain(s.log, "report of a host", func() { f(now) })
+			recoverPanic(s.log, "tick", func() { s.catchUp(now) })
+			recoverPanic(s.log, "report of a host", func() { f(now) })
 		case <-wakeup:
-			contain(s.log, "tick", func() { s.catchUp(time.Now()) })
+			recoverPanic(s.log, "tick", func() { s.catchUp(time.Now()) })
 		case <-ctx.Done():
 			s.dropAll(errStopping, time.Now())
 			return
 		}
-		contain(s.log, "verdict", func() { s.push(time.Now()) })
+		recoverPanic(s.log, "verdict", func() { s.push(time.Now()) })
 	}
 }
 
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -127,7 +127,7 @@
 		select {
 		case m := <-s.received:
 			silence.Reset(silenceTimeout)
-			contain(s.c.log, "message of the coordinator", func() { s.apply(m, time.Now()) })
+			recoverPanic(s.c.log, "message of the coordinator", func() { s.apply(m, time.Now()) })
 		case err := <-s.failed:
 			return err
 		case <-account.asked:
