The time to write a response is limited

What callers saw: nothing; but a caller that did not read its response held its request and its memory without bound, a planned stop waited for it for all of drain_timeout, and neither told that an answer was not delivered.

Cause: no deadline for writes was set. WriteTimeout of net/http counts from the header of the request, so it would end answers of requests that are served for long.

Change: a connection of a caller sets the deadline anew for each write, 30 s (as for reading a request), so that a kept connection or an interim response hands none on. A response is written in at most two writes that can wait. A graceful shutdown ends, once its time is over, writes that have been pending for 100 ms, so that their handlers report them before the process exits; it still waits for such a caller until then. Both are logged as "answer could not be written" with end=deadline and counted as write_failed.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -10,7 +10,11 @@
 // that arrived while the host had no processor time is still found in the socket.
 const lastLook = 100 * time.Millisecond
 
-// interrupt is a read deadline that has passed.
+// stalledWrite is how long a write has been pending if the caller does not read. A write that has just
+// begun may still be completed without the caller, on a host that has little processor time.
+const stalledWrite = 100 * time.Millisecond
+
+// interrupt is a deadline that has passed.
 var interrupt = time.Unix(1, 0)
 
 // Conn is a connection of a caller. It must be served by an http.Server that Tracker.Configure
@@ -29,6 +33,8 @@
 	// readSinceWrite reports whether bytes were read since the last write began: they belong to a
 	// further request.
 	readSinceWrite bool
+	// writeSince is when the pending write began; zero if there is none.
+	writeSince time.Time
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
 	// closing is why the next read without a byte ends the connection, Unknown if it does not, and
@@ -91,22 +97,37 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	c.beginWrite()
 	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.noteWriteError(err)
-	}
+	c.noteWritten(err)
 	return n, err
 }
 
+// beginWrite limits the time of a write. The deadline of an earlier one does not apply to it.
 func (c *Conn) beginWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readSinceWrite = false
+	c.readSinceWrite, c.writeSince = false, time.Now()
+	if timeout := c.tracker.writeTimeout; timeout > 0 {
+		_ = c.Conn.SetWriteDeadline(c.writeSince.Add(timeout)) // A connection that fails here fails the write too.
+	}
 }
 
-func (c *Conn) noteWriteError(err error) {
+// noteWritten records the result of a write.
+func (c *Conn) noteWritten(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.noteEnd(endOf(err))
+	c.writeSince = time.Time{}
+	if err != nil {
+		c.noteEnd(endOf(err))
+	}
+}
+
+// endStalledWrite makes the pending write fail if it is stalled.
+func (c *Conn) endStalledWrite(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeSince.IsZero() && now.Sub(c.writeSince) >= stalledWrite {
+		_ = c.Conn.SetWriteDeadline(interrupt) // A connection that fails here fails the write too.
+	}
 }
 
 // SetReadDeadline implements net.Conn. It does not postpone a close.
--- a/internal/callerconn/end.go
+++ b/internal/callerconn/end.go
@@ -23,7 +23,8 @@
 	EndOfFile
 	// Reset: the caller reset the connection. Nobody reads a response.
 	Reset
-	// Deadline: this host ended it because the caller took too long to send, or was idle for too long.
+	// Deadline: this host ended it because the caller took too long to send or to read, or was idle for
+	// too long.
 	Deadline
 	// Broken: reading or writing failed otherwise.
 	Broken
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -32,6 +32,8 @@
 type Tracker struct {
 	// headerTimeout limits the time to read the header of a request; 0 is no limit.
 	headerTimeout time.Duration
+	// writeTimeout limits the time of one write; 0 is no limit.
+	writeTimeout time.Duration
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -77,9 +79,10 @@
 type connKey struct{}
 
 // Configure makes a server report to the tracker. The server must serve a listener that Listen
-// returned.
+// returned. Its WriteTimeout counts from the beginning of each write. That of net/http counts from the
+// header, and would include the time to serve the request.
 func (t *Tracker) Configure(s *http.Server) {
-	t.headerTimeout = s.ReadHeaderTimeout
+	t.headerTimeout, t.writeTimeout = s.ReadHeaderTimeout, s.WriteTimeout
 	next := s.Handler
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	s.ConnState = func(c net.Conn, state http.ConnState) {
@@ -104,11 +107,19 @@
 }
 
 // Drain closes connections as they become idle, until none is open and none can be accepted, or ctx
-// is done, and returns how many are open. The listener must be closed before.
+// is done, and returns how many are open. It then ends the writes that are stalled, whose handlers get
+// an error. The listener must be closed before.
 func (t *Tracker) Drain(ctx context.Context) int {
 	for {
 		open, accepting := t.all()
-		if len(open) == 0 && !accepting || ctx.Err() != nil {
+		if len(open) == 0 && !accepting {
+			return 0
+		}
+		if ctx.Err() != nil {
+			for _, c := range open {
+				c.endStalledWrite(time.Now())
+			}
+			pause.Sleep(context.WithoutCancel(ctx), drainInterval) // The handlers report the errors.
 			return len(open)
 		}
 		for _, c := range open {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,6 +21,9 @@
 const (
 	// bodyTimeout limits the time to read one request, including its body.
 	bodyTimeout = 30 * time.Second
+	// writeTimeout limits the time for which a caller may keep a response from being written. It is as
+	// generous as bodyTimeout: a caller that waits for a response reads it.
+	writeTimeout = 30 * time.Second
 	// maxIdleTime limits the idle time of a caller's connection if the configuration sets no limit.
 	maxIdleTime = 5 * time.Minute
 	// idleSweepInterval is the interval between checks for idle connections.
@@ -128,7 +131,7 @@
 
 // newCallerServer returns the server for the requests of callers.
 func newCallerServer(h http.Handler, headerTimeout time.Duration, conns *callerconn.Tracker) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: maxIdleTime}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: writeTimeout, IdleTimeout: maxIdleTime}
 	conns.Configure(s)
 	return s
 }
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,6 +126,58 @@
 	}
 }
 
+// A caller that does not read its response must not hold its request for longer than writeTimeout. The
+// limit must not include the time to serve, nor reach the next request of a kept connection.
+func TestTimeToWriteAResponseIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errs := make(chan error, 1)
+		s, l := serveCallers(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(2 * writeTimeout)
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				errs <- fmt.Errorf("%v: %w", callerconn.FromContext(r.Context()), err)
+			}
+		})
+		defer func() { _ = s.callers.Close() }()
+		c := l.Dial()
+		for range 2 {
+			assert.NilError(t, c.Exchange(callertest.Get))
+			time.Sleep(2 * writeTimeout)
+		}
+		assert.NilError(t, c.Send(callertest.Get))
+		time.Sleep(3*writeTimeout + 1)
+		assert.Equal(t, len(errs), 1, "the response is still written")
+		err := <-errs
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.ErrorContains(t, err, callerconn.Deadline.String()+": ")
+	})
+}
+
+// A graceful shutdown must end the responses that callers do not read, so that they are reported, and no
+// response that is just being written.
+func TestShutdownEndsResponsesThatAreNotRead(t *testing.T) {
+	file := settingsOf(t, oneHost[0])
+	file.GetShutdown().DrainTimeout = durationpb.New(3 * time.Second)
+	withCluster(t, shardedConfig(1, 1), nil, nil, func(cl *cluster) {
+		errs := make(chan error, 1)
+		s, l := serveCallers(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, 1<<20))
+			errs <- err
+		})
+		g := cl.start(file)
+		stalled, late := l.Dial(), l.Dial()
+		assert.NilError(cl.t, late.Send(callertest.Get[:10]))
+		assert.NilError(cl.t, stalled.Send(callertest.Get))
+		time.AfterFunc(2990*time.Millisecond, func() { assert.Check(cl.t, late.Send(callertest.Get[10:])) })
+		_ = g.shutDown(s)
+		assert.Equal(cl.t, len(errs), 1, "one response is stalled")
+		assert.ErrorIs(cl.t, <-errs, os.ErrDeadlineExceeded)
+		status, err := late.Receive()
+		assert.NilError(cl.t, err)
+		assert.Equal(cl.t, status, http.StatusOK)
+		_ = late.Close()
+	})
+}
+
 // A configuration that lowers the idle limit must not close connections at once that callers reuse by
 // the former limit.
 func TestLowerIdleLimitSparesConnectionsInUseByTheFormer(t *testing.T) {
