--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -10,7 +10,11 @@
 // that arrived while the host had no processor time is still found in the socket.
 const lastLook = 100 * time.Millisecond
 
-// interrupt is a read deadline that has passed.
+// stalledWrite is how long a write has been pending if the caller does not read. A write that has just
+// begun may still be completed without the caller, on a host that has little processor time.
+const stalledWrite = 100 * time.Millisecond
+
+// interrupt is a deadline that has passed.
 var interrupt = time.Unix(1, 0)
 
 // Conn is a connection of a caller. It must be served by an http.Server that Tracker.Configure
@@ -29,6 +33,8 @@
 	// readSinceWrite reports whether bytes were read since the last write began: they belong to a
 	// further request.
 	readSinceWrite bool
+	// writeSince is when the pending write began; zero if there is none.
+	writeSince time.Time
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
 	// closing is why the next read without a byte ends the connection, Unknown if it does not, and
@@ -89,16 +95,39 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.readSinceWrite = false
-	c.mu.Unlock()
+	c.beginWrite()
 	n, err := c.Conn.Write(p)
+	c.noteWritten(err)
+	return n, err
+}
+
+// beginWrite limits the time of a write. The deadline of an earlier one does not apply to it.
+func (c *Conn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readSinceWrite, c.writeSince = false, time.Now()
+	if timeout := c.tracker.writeTimeout; timeout > 0 {
+		_ = c.Conn.SetWriteDeadline(c.writeSince.Add(timeout)) // A connection that fails here fails the write too.
+	}
+}
+
+// noteWritten records the result of a write.
+func (c *Conn) noteWritten(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeSince = time.Time{}
 	if err != nil {
-		c.mu.Lock()
 		c.noteEnd(endOf(err))
-		c.mu.Unlock()
 	}
-	return n, err
+}
+
+// endStalledWrite makes the pending write fail if it is stalled.
+func (c *Conn) endStalledWrite(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeSince.IsZero() && now.Sub(c.writeSince) >= stalledWrite {
+		_ = c.Conn.SetWriteDeadline(interrupt) // A connection that fails here fails the write too.
+	}
 }
 
 // SetReadDeadline implements net.Conn. It does not postpone a close.
@@ -123,19 +152,23 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	if end, first := c.noteClose(); first {
+		c.tracker.remove(c)
+		ended[end].Inc()
+	}
+	return c.Conn.Close()
+}
+
+// noteClose records that the connection is closed and returns why it ended, and whether it was open.
+func (c *Conn) noteClose() (end End, first bool) {
 	c.mu.Lock()
-	first := !c.closed
+	defer c.mu.Unlock()
+	first = !c.closed
 	if c.end == Open {
 		c.end = Closed
 	}
 	c.closed = true
-	end := c.end
-	c.mu.Unlock()
-	if first {
-		c.tracker.remove(c)
-		ended[end].Inc()
-	}
-	return c.Conn.Close()
+	return c.end, first
 }
 
 // begin records that a request is served. A request that was read together with the one before it
