A request whose time ends while its team's coordinator is asked is refused with the reason

What callers saw: 503 without a reason, since the end of the wait is no longer taken for a coordinator that is silent.

Evidence: TestWaitForTheAllowanceEndsWithTheRequest, which now looks at the reason, failed before and passes.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -40,6 +40,10 @@
 		reason := fmt.Sprintf("over the limit of team %s (%g requests/s, burst %g): refused by %s", member.Name, member.Limit.PerSecond, member.Limit.Burst, q.trace.quota)
 		return Answer{Outcome: OverLimit, Cause: CauseOverLimit, Reason: reason, RetryAfter: max(ruling.RetryAfter, minRetryAfter)}, false
 	}
+	if ruling.Action == quota.AskFirst && ctx.Err() == nil {
+		q.gateway.coordination.Return(member.Name)
+		return notRun(CauseNoTime, "the caller's timeout expired while the coordinator was asked about the limit of its team", minRetryAfter), false
+	}
 	if ctx.Err() != nil {
 		q.gateway.coordination.Return(member.Name)
 		return Answer{Outcome: CallerLeft, Cause: CauseCallerLeft, Reason: "the caller closed its connection"}, false
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -162,8 +162,9 @@
 			}
 			r := cl.requestWith("/one/", "Bearer red-secret")
 			r.Timeout = endMargin + 30*time.Millisecond
-			cl.hosts[h.name].Serve(cl.ctx, r)
+			a := cl.hosts[h.name].Serve(cl.ctx, r)
 			assert.Assert(t, time.Since(r.Arrived) <= r.Timeout, "%s answered after %v of %v", h.name, time.Since(r.Arrived), r.Timeout)
+			assert.Assert(t, a.Outcome == Forwarded || a.Cause != CauseNone && a.Reason != "", "a refusal tells its reason: %+v", a)
 		}
 	})
 }
