A graceful shutdown accepts the connections that wait in its listener's queue

Cause: the kernel completes connections that the process has not accepted yet; a close of the listener resets them, with the requests that were written.

--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -188,3 +188,27 @@
 	assert.Equal(t, n, 1)
 	assert.Assert(t, raw.deadline.IsZero())
 }
+
+// A graceful shutdown must accept the connections that wait in the queue of the listener, as on a host
+// that had no processor time: a close would reset them with the requests that were written to them.
+func TestStoppingListenerAcceptsWhatWaits(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tracker := NewTracker()
+	listener := tracker.Listen(l)
+	const waiting = 3
+	for range waiting {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	tracker.StopAccepting(listener)
+	for range waiting {
+		c, err := listener.Accept()
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+	}
+	_, err = listener.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, tracker.Drain(t.Context()), 0)
+}
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -22,6 +23,9 @@
 	freshGrace = 500 * time.Millisecond
 	// drainInterval is the interval at which Drain closes idle connections.
 	drainInterval = 10 * time.Millisecond
+	// acceptLooks is how often the queue of a listener that stops is looked at without finding a
+	// connection, each time for lastLook. A host without processor time may miss the first look.
+	acceptLooks = 2
 )
 
 // Expired reports whether to close a connection that has been idle for the given time. A fresh
@@ -52,27 +56,83 @@
 	return &listener{Listener: l, tracker: t}
 }
 
+// listener is a listener whose connections are tracked.
 type listener struct {
 	net.Listener
 	tracker *Tracker
-	ended   bool
+	// stopping is whether the listener closes once its queue is empty, and ended whether it can accept
+	// no more connections. Both are protected by the lock of the tracker.
+	stopping, ended bool
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	for misses := 0; ; {
+		stopping := l.beginAccept()
+		conn, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return l.track(conn), nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, l.noteError(err)
+		case !stopping:
+			continue // The deadline was that of StopAccepting.
+		}
+		if misses++; misses == acceptLooks {
+			_ = l.Close() // It fails only if it is closed already.
+			return nil, l.noteError(net.ErrClosed)
+		}
+	}
+}
+
+// beginAccept limits the next Accept if the listener is stopping.
+func (l *listener) beginAccept() (stopping bool) {
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
-	if err != nil {
-		if errors.Is(err, net.ErrClosed) && !l.ended {
-			l.ended = true
-			l.tracker.listeners--
-		}
-		return nil, err
+	if l.stopping {
+		setAcceptDeadline(l.Listener, time.Now().Add(lastLook))
 	}
+	return l.stopping
+}
+
+func (l *listener) track(conn net.Conn) *Conn {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
 	c := newConn(conn, l.tracker)
 	l.tracker.conns[c] = struct{}{}
-	return c, nil
+	return c
+}
+
+func (l *listener) noteError(err error) error {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	if errors.Is(err, net.ErrClosed) && !l.ended {
+		l.ended = true
+		l.tracker.listeners--
+	}
+	return err
+}
+
+// StopAccepting makes a listener that Listen returned close once no connection waits to be accepted. A
+// close at once would reset those that wait, with the requests that were written to them.
+func (t *Tracker) StopAccepting(l net.Listener) {
+	tracked, ok := l.(*listener)
+	if !ok || !tracked.stop() {
+		_ = l.Close() // It fails only if it is closed already.
+	}
+}
+
+// stop interrupts the pending Accept. It returns false if the listener has no deadlines.
+func (l *listener) stop() bool {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.stopping = true
+	return setAcceptDeadline(l.Listener, interrupt)
+}
+
+func setAcceptDeadline(l net.Listener, at time.Time) bool {
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(at) == nil
 }
 
 // connKey is the key of the connection in a request's context.
@@ -108,7 +168,7 @@
 
 // Drain closes connections as they become idle, until none is open and none can be accepted, or ctx
 // is done, and returns how many are open. It then ends the writes that are stalled, whose handlers get
-// an error. The listener must be closed before.
+// an error. StopAccepting must be called before.
 func (t *Tracker) Drain(ctx context.Context) int {
 	for {
 		open, accepting := t.all()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -87,7 +87,7 @@
 	abort := time.AfterFunc(drain-min(answerTime, time.Duration(answerShare*float64(drain))), g.abortRequests)
 	defer abort.Stop()
 	// http.Server.Shutdown is not used, as it drops requests whose header was just read.
-	_ = s.listeners["callers"].Close() // The process exits soon, which closes it too.
+	s.conns.StopAccepting(s.listeners["callers"])
 	if open := s.conns.Drain(ctx); open > 0 {
 		g.log.Warn().Int("connections", open).Msg("connections of callers are still in use after drain_timeout")
 	}
