--- a/internal/control/view_test.go
+++ b/internal/control/view_test.go
@@ -137,7 +137,11 @@
 		go s.run(ctx)
 		changed := s.changed
 		s.do(ctx, func() { s.applyBatch(Batch{Revision: 1, Entries: fleetEntries(60, 1, 1)}, time.Now()) })
-		<-changed
+		select {
+		case <-changed:
+		default:
+			t.Error("followers were not told")
+		}
 		assert.Equal(t, s.view().HostCount, 60)
 		s.do(ctx, func() { panic("injected by the test") })
 		s.do(ctx, func() { s.applyBatch(Batch{Revision: 2, Entries: fleetEntries(20, 1, 2)}, time.Now()) })
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -204,5 +204,14 @@
 TestReservedAllowance@quota/bucket.go@s/ && b.level\+rounding >= 1 \{/ {/@a place is granted though the allowance was used
 TestCallersThatDoNotReturnCostLittle@quota/bucket.go@s/placeTTL = 100 \* time.Millisecond/placeTTL = 100 * time.Second/@allowances of callers that do not return are lost
 TestCallersOnTimeGoFirst@quota/ledger.go@s/!ask.Late \|\| a.free\(\) >= min\(lateReserve, a.depth\)/true/@late callers use up the limit of a team
+TestReadyReplyIsDeliveredWhenTheTimeIsOver@internal/gateway/query.go@s/\tq.drainEvents\(\)\n\tif afterReplies/\tif afterReplies/@a reply that is ready loses against the end of the time
+TestFailureAfterAReplyDoesNotReplaceIt@internal/gateway/query.go@s/r.reply != nil && !q.state.Covered\(r.shard\)/r.reply != nil/@the failure of one server replaces the reply of another
+TestPanicBeforeSendingReleasesTheSlot@internal/gateway/serve.go@s/\tq.abandonUnsent\(\)\n//@a panic before sending keeps slots taken
+TestPanicWhileARequestIsServedIsAnswered@platform/caller.go@s/\t\tdefer recoverHandler\(.*\)\n//@a panic closes the connection of the caller
+TestPanicOfAListenerDoesNotEndTheControlState@internal/control/state.go@s/s.contain\("change of servers", func\(\) \{ (.*) \}\)\n/$1\n/@a panic in the request path keeps the state from being published
+TestStoppingListenerAcceptsWhatWaits@internal/callerconn/tracker.go@s/if !ok \|\| !tracked.stop\(\) \{/if ok || !tracked.stop() {/@a stop resets connections that wait to be accepted
+TestShutdownAnswersARequestThatIsBeingRead@internal/callerconn/conn.go@s/c.idleSince.IsZero\(\) \|\| //@a connection of which a request is read is closed as idle
+TestRequestsThatAShutdownAbortsAreAnswered@internal/gateway/query.go@s/if aborting \{\n/if false {\n/@requests in flight at the end of a stop are cut
+TestWaitForTheAllowanceEndsWithTheRequest@internal/gateway/quota.go@s/if ruling.Action == quota.AskFirst && /if false \&\& /@a request that was not decided is refused without a reason
 LIST
 exit $survived
