A panic while a home serves a request fails only that request

Callers of an entry host lost every request in flight when one request met a panic, in the goroutine of its call or of one of its attempts: neither gRPC nor drpc recovers panics, and the process ended. A panic while the mutex of a service was held would in addition have blocked the service for good.

Change: Service.Serve, the goroutine of an attempt and the goroutines that connect to leaves recover. An attempt that panics fails, without a mark against its leaf, and the query goes on; a panic in the handling of a result fails the shard; any other panic of a query is answered UNKNOWN if an attempt was started, NOT_RUN if none was. The place in the queue, the slots and the topology are released. The mutex is unlocked by deferred calls in small functions; it guards what it did, and is held during no call.

Ruled out: a service without shards, leaves, slots or share refuses without a panic, before the change as well.

--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -95,6 +95,12 @@
 	if !replicas.Acquire(chosen, now) {
 		return
 	}
+	started := false
+	defer func() {
+		if !started { // A panic.
+			replicas.Leaves[chosen].Slots.Release()
+		}
+	}()
 	parent := q.ctx
 	if kind == obs.Probe {
 		parent = context.WithoutCancel(q.ctx)
@@ -112,35 +118,55 @@
 		generation:    q.restarts,
 		onTrial:       q.quarantine.trialShard == shard,
 	}
+	request := q.request(a)
 	q.recordStart(a)
 	obs.CountAttempt(kind)
-	go s.runAttempt(ctx, q, a, q.request(a))
+	started = true
+	go s.runAttempt(ctx, q, a, request)
 }
 
 // runAttempt makes the call of an attempt and passes the result to the query. s.mu must
-// not be held.
+// not be held. After a panic the attempt has failed, and the query gets a result all the same.
 func (s *Service) runAttempt(ctx context.Context, q *query, a *attempt, request *leafpb.ExecuteRequest) {
 	defer a.cancel()
-	reply, err := s.client.Execute(ctx, a.address, request)
+	reply, err := s.execute(ctx, a, request)
 	if err == nil && reply.GetAttemptId() != a.id {
 		err = errWrongAttempt
 	}
 	canceled := ctx.Err() != nil && err != nil
-	leafCrashed := err != nil && !canceled && !leaf.NotSent(err) && s.hasCrashed(ctx, a.address)
-	s.mu.Lock()
-	notify := s.finishAttempt(q.topology, a, reply, err, canceled)
-	s.mu.Unlock()
-	notify()
+	leafCrashed := err != nil && !canceled && !leaf.NotSent(err) && !isPanic(err) && s.hasCrashedOrPanic(ctx, a.address, request.GetRequestId())
+	s.recordEnd(q, a, reply, err, canceled)
 	select {
 	case q.results <- attemptResult{attempt: a, reply: reply, err: err, leafCrashed: leafCrashed}:
 	case <-q.closed:
 	}
 }
 
+// execute calls the leaf of an attempt.
+func (s *Service) execute(ctx context.Context, a *attempt, request *leafpb.ExecuteRequest) (reply *leafpb.ExecuteReply, err error) {
+	defer recoverTo(&err, &s.options.PanicLog, "attempt", request.GetRequestId())
+	return s.client.Execute(ctx, a.address, request)
+}
+
+// hasCrashedOrPanic is hasCrashed for an attempt. A panic proves no crash.
+func (s *Service) hasCrashedOrPanic(ctx context.Context, address, request string) (crashed bool) {
+	_ = s.recoverPanic("check of a leaf", request, func() { crashed = s.hasCrashed(ctx, address) })
+	return crashed
+}
+
+// recordEnd records the end of an attempt and tells what its leaf reported.
+func (s *Service) recordEnd(q *query, a *attempt, reply *leafpb.ExecuteReply, err error, canceled bool) {
+	var panicked error
+	defer recoverTo(&panicked, &s.options.PanicLog, "end of an attempt", q.req.GetRequestId())
+	s.finishAttempt(q.topology, a, reply, err, canceled)()
+}
+
 // finishAttempt releases the slot, records what the attempt showed about its leaf and
-// dispatches the attempts queued for the leaf's shards. s.mu must be held; the caller must
-// call the returned function after releasing it.
+// dispatches the attempts queued for the leaf's shards. The caller must call the returned
+// function, without the lock.
 func (s *Service) finishAttempt(t *topology, a *attempt, reply *leafpb.ExecuteReply, err error, canceled bool) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	sh := t.shards[a.shard]
 	replicas := sh.replicas
@@ -148,6 +174,8 @@
 	l.Slots.Release()
 	notify := s.observeStatus(a.address, reply.GetStatus(), now)
 	switch {
+	case err != nil && isPanic(err):
+		// A fault of this process says nothing about the leaf.
 	case canceled:
 		replicas.Canceled(a.leaf, now.Sub(a.start), now)
 	case err != nil:
--- a/internal/home/query.go
+++ b/internal/home/query.go
@@ -66,6 +66,11 @@
 	// done is set when the query finishes.
 	done       bool
 	quarantine quarantineState
+	// result, serviceTime and barredText are set when the query finishes: the merged parts,
+	// the usual time of a request of its class and, if its content is barred, why.
+	result      scatter.Result
+	serviceTime time.Duration
+	barredText  string
 }
 
 // newQuery returns a query on the current topology. s.mu must be held.
@@ -204,42 +209,58 @@
 	}
 }
 
-// loop runs the query until it is answered, barred, canceled or out of time. It returns
-// with the lock held.
+// loop runs the query until it is answered, barred, canceled or out of time, and finishes it.
 func (q *query) loop() {
-	s := q.service
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	s.mu.Lock()
-	q.fanOut()
-	for {
-		now := time.Now()
-		if q.quarantine.barred || q.gather.Finished(now) || !now.Before(q.deadline) || q.ctx.Err() != nil {
-			return
-		}
-		timer.Reset(q.sleepTime(now))
-		s.mu.Unlock()
+	for wait, running := q.step(q.fanOut); running; {
+		timer.Reset(wait)
 		select {
 		case r := <-q.results:
-			s.mu.Lock()
-			q.onResult(r)
-			q.restartHeld(time.Now())
+			wait, running = q.step(func() {
+				q.onResultOrPanic(r)
+				q.restartHeld(time.Now())
+			})
 		case <-timer.C:
-			s.mu.Lock()
-			q.onTimer(time.Now())
-			q.restartHeld(time.Now())
+			wait, running = q.step(func() {
+				q.onTimer(time.Now())
+				q.restartHeld(time.Now())
+			})
 		case <-q.wakeup:
-			s.mu.Lock()
-			q.restartHeld(time.Now())
+			wait, running = q.step(func() { q.restartHeld(time.Now()) })
 		case <-q.quarantine.barredChanged:
-			s.mu.Lock()
-			q.recheckBarred()
+			wait, running = q.step(q.recheckBarred)
 		case <-q.ctx.Done():
-			s.mu.Lock()
+			wait, running = q.step(func() {})
 		}
 	}
 }
 
+// step handles an event under the lock. It returns how long the query may wait for the next one, or
+// finishes the query and returns false.
+func (q *query) step(handle func()) (wait time.Duration, running bool) {
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
+	handle()
+	now := time.Now()
+	if q.quarantine.barred || q.gather.Finished(now) || !now.Before(q.deadline) || q.ctx.Err() != nil {
+		q.finish()
+		return 0, false
+	}
+	return q.sleepTime(now), true
+}
+
+// abort finishes a query that panicked, and returns how many of its attempts a leaf may have
+// executed.
+func (q *query) abort() int {
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
+	if !q.done {
+		q.finish()
+	}
+	return q.maybeExecuted
+}
+
 // sleepTime returns how long the query may wait for an event.
 func (q *query) sleepTime(now time.Time) time.Duration {
 	at := q.deadline
@@ -284,20 +305,35 @@
 	return true
 }
 
-// finish ends the query and returns the merged result. s.mu must be held.
-func (q *query) finish() scatter.Result {
+// finish ends the query, frees its place in the queue and sets the result. s.mu must be held.
+func (q *query) finish() {
+	s := q.service
+	q.done = true
+	defer func() { q.serviceTime = s.queue.Service(q.rank) }()
+	defer q.release()
+	if q.gather != nil {
+		q.result = q.gather.Close()
+	}
 	if now := time.Now(); !q.recordCrashes(now) {
 		q.recordServed(now)
 	}
-	q.done = true
+	if q.quarantine.barred {
+		q.barredText = s.barredMessage(fingerprint(q.req))
+	}
+}
+
+// release cancels the running attempts and gives up what the query holds.
+func (q *query) release() {
+	s := q.service
 	close(q.closed)
 	for _, a := range q.running {
 		if !a.outlivesQuery {
 			a.cancel()
 		}
 	}
-	q.service.releaseTopology(q.topology)
-	return q.gather.Close()
+	s.queue.Done(q.rank, time.Since(q.start))
+	s.queue.Admit()
+	s.releaseTopology(q.topology)
 }
 
 // releaseTopology drops an old topology when its last query ends.
--- a/internal/home/reply.go
+++ b/internal/home/reply.go
@@ -10,6 +10,29 @@
 	"github.com/mallowgap/mallowgap/scatter"
 )
 
+// onResultOrPanic handles the end of an attempt. After a panic its shard gets no more attempts, and the
+// query goes on with the others.
+func (q *query) onResultOrPanic(r attemptResult) {
+	if q.handleResult(r) == nil {
+		return
+	}
+	a := r.attempt
+	if a.generation != q.restarts {
+		return
+	}
+	q.gather.Ended(a.shard, a.id, scatter.Failed)
+	if q.gather.Open(a.shard) && q.gather.Running(a.shard) == 0 {
+		q.gather.GiveUp(a.shard, scatter.ReasonNone)
+	}
+}
+
+// handleResult is onResult with a panic as an error.
+func (q *query) handleResult(r attemptResult) (err error) {
+	defer recoverTo(&err, &q.service.options.PanicLog, "result of an attempt", q.req.GetRequestId())
+	q.onResult(r)
+	return nil
+}
+
 // onResult handles the end of an attempt.
 func (q *query) onResult(r attemptResult) {
 	a, now := r.attempt, time.Now()
--- a/internal/home/serve.go
+++ b/internal/home/serve.go
@@ -14,36 +14,69 @@
 // Serve runs one request to completion. ctx must have a deadline. The outcome NOT_RUN
 // is returned only if no leaf has executed the request and none can do so later.
 func (s *Service) Serve(ctx context.Context, req *callerpb.AskRequest, rank uint32) *callerpb.AskReply {
+	var initial quarantineState
+	var refusal *callerpb.AskReply
 	deadline := replyDeadline(ctx, time.Now())
-	s.mu.Lock()
-	initial, barredReply := s.checkQuarantine(req, deadline, time.Now())
-	s.mu.Unlock()
-	if barredReply != nil {
-		return barredReply
+	err := s.recoverPanic("admission of a request", req.GetRequestId(), func() {
+		if initial, refusal = s.checkQuarantineNow(req, deadline); refusal == nil {
+			refusal = s.awaitAdmission(ctx, req, rank, deadline)
+		}
+	})
+	if err != nil {
+		return PanicNotRun(req)
 	}
-	if refusal := s.awaitAdmission(ctx, req, rank, deadline); refusal != nil {
+	if refusal != nil {
 		return refusal
 	}
+	return s.runAdmitted(ctx, req, rank, deadline, initial)
+}
+
+// runAdmitted runs an admitted request and frees its place in the queue.
+func (s *Service) runAdmitted(ctx context.Context, req *callerpb.AskRequest, rank uint32, deadline time.Time, initial quarantineState) *callerpb.AskReply {
+	var q *query
+	var reply *callerpb.AskReply
+	err := s.recoverPanic("query", req.GetRequestId(), func() {
+		q = s.startQuery(ctx, req, rank, deadline, initial)
+		defer q.cancel()
+		q.loop()
+		reply = q.reply(ctx)
+	})
+	if err == nil {
+		return reply
+	}
+	if q == nil {
+		_ = s.recoverPanic("end of a query", req.GetRequestId(), func() { s.releasePlace(rank) })
+		return PanicNotRun(req)
+	}
+	maybeExecuted := 1
+	_ = s.recoverPanic("end of a query", req.GetRequestId(), func() { maybeExecuted = q.abort() })
+	if maybeExecuted == 0 {
+		return PanicNotRun(req)
+	}
+	return PanicUnknown(req)
+}
+
+// startQuery returns a query on the current topology.
+func (s *Service) startQuery(ctx context.Context, req *callerpb.AskRequest, rank uint32, deadline time.Time, initial quarantineState) *query {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newQuery(ctx, req, rank, deadline, initial)
+}
+
+// releasePlace frees the place of an admitted request that never ran.
+func (s *Service) releasePlace(rank uint32) {
 	s.mu.Lock()
-	q := s.newQuery(ctx, req, rank, deadline, initial)
-	s.mu.Unlock()
-	defer q.cancel()
-	q.loop()
-	result := q.finish()
-	maybeExecuted := q.maybeExecuted
-	s.queue.Done(rank, time.Since(q.start))
+	defer s.mu.Unlock()
+	s.queue.Done(rank, 0)
 	s.queue.Admit()
-	serviceTime := s.queue.Service(rank)
-	spec := q.topology.spec
-	barredText := ""
-	if q.quarantine.barred {
-		barredText = s.barredMessage(fingerprint(req))
-	}
-	s.mu.Unlock()
-	if barredText != "" && maybeExecuted > 0 {
-		return OutcomeUnknown(req, callerpb.Reason_BARRED, barredText, quarantine.FirstProbation)
+}
+
+// reply returns the reply of a query whose loop has ended.
+func (q *query) reply(ctx context.Context) *callerpb.AskReply {
+	if q.barredText != "" && q.maybeExecuted > 0 {
+		return OutcomeUnknown(q.req, callerpb.Reason_BARRED, q.barredText, quarantine.FirstProbation)
 	}
-	return buildReply(ctx, req, result, maybeExecuted, spec.GetMinCoverage(), serviceTime)
+	return buildReply(ctx, q.req, q.result, q.maybeExecuted, q.topology.spec.GetMinCoverage(), q.serviceTime)
 }
 
 // replyDeadline returns the time by which the reply must leave this host to reach the
@@ -62,12 +95,46 @@
 func (s *Service) awaitAdmission(ctx context.Context, req *callerpb.AskRequest, rank uint32, deadline time.Time) *callerpb.AskReply {
 	admitted := make(chan struct{})
 	item := &admission.Item{Rank: rank, Deadline: deadline, Admitted: func() { close(admitted) }}
+	settled := false
+	defer func() {
+		if !settled {
+			s.removeItem(item, admitted)
+		}
+	}()
+	reply := s.awaitItem(ctx, req, item, admitted)
+	settled = true
+	return reply
+}
+
+// removeItem removes a request from the queue, whether it waits, was admitted or was never offered.
+func (s *Service) removeItem(item *admission.Item, admitted <-chan struct{}) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queue.Withdraw(item) {
+		return
+	}
+	select {
+	case <-admitted:
+		s.queue.Done(item.Rank, 0)
+		s.queue.Admit()
+	default:
+	}
+}
+
+// offer offers a request to the queue. It returns the refusal with the delay of a retry, and the time
+// by which the request must be admitted.
+func (s *Service) offer(item *admission.Item) (refusal admission.Refusal, retryAfter time.Duration, latestStart time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.measureCapacity(time.Now())
-	refusal, retryAfter := s.queue.Offer(item, time.Now())
+	refusal, retryAfter = s.queue.Offer(item, time.Now())
 	s.queue.Admit()
-	latestStart := deadline.Add(-s.queue.Service(rank))
-	s.mu.Unlock()
+	return refusal, retryAfter, item.Deadline.Add(-s.queue.Service(item.Rank))
+}
+
+// awaitItem is awaitAdmission for the item of a request.
+func (s *Service) awaitItem(ctx context.Context, req *callerpb.AskRequest, item *admission.Item, admitted <-chan struct{}) *callerpb.AskReply {
+	refusal, retryAfter, latestStart := s.offer(item)
 	switch refusal {
 	case admission.QueueFull:
 		return NotRun(req, callerpb.Reason_QUEUE_FULL, "too many requests of this class are queued: retry later", retryAfter)
@@ -75,7 +142,7 @@
 		return NotRun(req, callerpb.Reason_DEADLINE_TOO_SHORT, "the request cannot be answered by its deadline: retry later or set a longer deadline", retryAfter)
 	}
 	if s.options.Queue.Order == admission.FIFO {
-		latestStart = deadline
+		latestStart = item.Deadline
 	}
 	timer := time.NewTimer(time.Until(latestStart))
 	defer timer.Stop()
@@ -92,7 +159,7 @@
 	if !s.queue.Withdraw(item) {
 		return nil
 	}
-	return NotRun(req, reason, "the request was queued until it could no longer be answered by its deadline: retry later", s.queue.Wait(rank))
+	return NotRun(req, reason, "the request was queued until it could no longer be answered by its deadline: retry later", s.queue.Wait(item.Rank))
 }
 
 // NotRun returns the reply to a request that no leaf executed.
--- a/internal/home/service.go
+++ b/internal/home/service.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/mallowgap/mallowgap/admission"
 	"github.com/mallowgap/mallowgap/api/configpb"
 	"github.com/mallowgap/mallowgap/api/leafpb"
@@ -49,6 +51,8 @@
 	// is not draining.
 	OnLeafRestarted func(address string, incarnation uint64)
 	Seed            uint64
+	// PanicLog gets a line for each recovered panic.
+	PanicLog zerolog.Logger
 }
 
 // Service coordinates the queries of one service at this host. It is safe for
@@ -107,9 +111,17 @@
 // Configure applies a shard map, this host's share of the slots and the known leaving
 // leaves. Running queries keep the shard map they started with.
 func (s *Service) Configure(spec *configpb.Service, share SlotShare, leavingIncarnation func(address string) (uint64, bool)) {
+	if t, specChanged := s.applySpec(spec, share, leavingIncarnation); specChanged {
+		s.connect(t)
+	}
+}
+
+// applySpec is Configure without the connections. It returns the current topology.
+func (s *Service) applySpec(spec *configpb.Service, share SlotShare, leavingIncarnation func(address string) (uint64, bool)) (t *topology, specChanged bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.leavingIncarnation = leavingIncarnation
-	specChanged := s.topology == nil || s.topology.spec != spec
+	specChanged = s.topology == nil || s.topology.spec != spec
 	if specChanged || s.share != share {
 		s.share = share
 		s.replaceTopology(spec)
@@ -119,11 +131,7 @@
 	s.measureCapacity(time.Now())
 	s.queue.Admit()
 	s.dispatchAll()
-	t := s.topology
-	s.mu.Unlock()
-	if specChanged {
-		s.connect(t)
-	}
+	return s.topology, specChanged
 }
 
 // measureCapacity updates the admission capacity from the state of the leaves, at most
@@ -176,7 +184,9 @@
 		if !used {
 			delete(s.leaves, address)
 			delete(s.incarnations, address)
-			go s.client.CloseConn(address)
+			go func() {
+				_ = s.recoverPanic("close of a connection", "", func() { s.client.CloseConn(address) })
+			}()
 		}
 	}
 }
@@ -189,20 +199,29 @@
 		go func() {
 			sem <- struct{}{}
 			defer func() { <-sem }()
-			ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
-			defer cancel()
-			reply, err := s.client.Describe(ctx, address)
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			notify := s.observeStatus(address, reply.GetStatus(), time.Now())
-			s.mu.Unlock()
-			notify()
+			_ = s.recoverPanic("connection to a leaf", "", func() { s.describe(address) })
 		}()
 	}
 }
 
+// describe opens the connection to a leaf and learns its state.
+func (s *Service) describe(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
+	defer cancel()
+	reply, err := s.client.Describe(ctx, address)
+	if err != nil {
+		return
+	}
+	s.observeDescription(address, reply.GetStatus())()
+}
+
+// observeDescription is observeStatus for callers that do not hold s.mu.
+func (s *Service) observeDescription(address string, status *leafpb.Status) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.observeStatus(address, status, time.Now())
+}
+
 // markLeaving updates which leaves are leaving. An announcement applies to the
 // announced incarnation and earlier ones, not to a restarted leaf.
 func (s *Service) markLeaving() {
--- a/internal/home/trial.go
+++ b/internal/home/trial.go
@@ -80,6 +80,13 @@
 	return state, NotRun(req, callerpb.Reason_BARRED, s.barredMessage(f), quarantine.FirstProbation)
 }
 
+// checkQuarantineNow is checkQuarantine for callers that do not hold s.mu.
+func (s *Service) checkQuarantineNow(req *callerpb.AskRequest, deadline time.Time) (quarantineState, *callerpb.AskReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checkQuarantine(req, deadline, time.Now())
+}
+
 // signalBarred wakes all running queries if any content became barred, so that those
 // with this content end before they crash more leaves. s.mu must be held.
 func (s *Service) signalBarred() {
@@ -108,15 +115,20 @@
 // hasCrashed asks a leaf whose call failed for its incarnation and reports whether its
 // process ended. A leaf that does not reply counts as crashed.
 func (s *Service) hasCrashed(ctx context.Context, address string) bool {
-	s.mu.Lock()
-	known := s.incarnations[address]
-	s.mu.Unlock()
+	known := s.incarnationOf(address)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
 	reply, err := s.client.Describe(ctx, address)
 	return err != nil || known != 0 && reply.GetStatus().GetIncarnation() > known
 }
 
+// incarnationOf returns the incarnation that a leaf last reported, or 0.
+func (s *Service) incarnationOf(address string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnations[address]
+}
+
 // holdForTrial holds an attempt back if it must wait for a trial, and reports whether it
 // did. Otherwise, if a trial is needed, the attempt becomes the trial. A trial does not
 // start while other attempts of the query run, because a crash would then not prove that
