A second result of an attempt is ignored

A refusal or an unsent attempt that came twice to a query was subtracted twice from the attempts that a leaf may have executed, so that a request which a leaf ran could have been answered NOT_RUN. No path that does so is known: the goroutine of an attempt sends one result.

Verified: TestResultThatComesTwiceIsIgnored failed without the change (0 attempts instead of 2) and passes with it. It also brings a second part, a failure, timers and give-ups after the shard was decided and after the query ended, which needed no change.

--- a/internal/home/contain_test.go
+++ b/internal/home/contain_test.go
@@ -276,6 +276,48 @@
 	})
 }
 
+// A result that comes twice, after the shard was decided or after the query ended must change nothing.
+func TestResultThatComesTwiceIsIgnored(t *testing.T) {
+	withContainTest(t, func(ct *containTest) {
+		s := ct.service
+		before := containedPanics()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		q := s.newQuery(ctx, &callerpb.AskRequest{RequestId: "x"}, 0, time.Now().Add(time.Second), quarantineState{trialShard: noTrialShard})
+		defer q.cancel()
+		q.fanOut()
+		a := q.running[0]
+		part := &leafpb.ExecuteReply{AttemptId: a.id, Result: &leafpb.ExecuteReply_Part{Part: &leafpb.Part{Shard: "s0", Epoch: 1, IndexVersion: 1}}}
+		refusal := &leafpb.ExecuteReply{AttemptId: a.id, Result: &leafpb.ExecuteReply_Refusal{Refusal: &leafpb.Refusal{Kind: leafpb.Refusal_VERSION_GONE}}}
+		q.onResult(attemptResult{attempt: a, reply: part})
+		assert.Equal(ct, q.gather.Merged(), 1)
+		maybeExecuted := q.maybeExecuted
+		events := []func(){
+			func() { q.onResult(attemptResult{attempt: a, reply: part}) },
+			func() { q.onResult(attemptResult{attempt: a, err: errors.New("lost")}) },
+			func() { q.onResult(attemptResult{attempt: a, reply: refusal}) },
+			func() { q.onTimer(time.Now().Add(time.Second)) },
+			func() { q.closeUnreachable(0) },
+			func() { q.restartHeld(time.Now()) },
+		}
+		for range 2 {
+			for _, event := range events {
+				event()
+			}
+		}
+		assert.Equal(ct, q.gather.Merged(), 1)
+		assert.Equal(ct, q.maybeExecuted, maybeExecuted, "a part of the answer was executed")
+		q.finish()
+		assert.Equal(ct, len(q.result.Contributed), 1)
+		for _, event := range events {
+			event()
+		}
+		assert.Equal(ct, containedPanics(), before)
+	})
+}
+
 // A service without shards, leaves or slots must refuse its requests without a panic.
 func TestServiceWithoutShardsLeavesOrSlotsRefuses(t *testing.T) {
 	replicas := []*configpb.Replica{{Address: leafAddress(0, 0)}}
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -29,6 +29,8 @@
 	// onTrial is set if the attempt is a quarantine trial of a query under which leaves
 	// crashed.
 	onTrial bool
+	// ended is set when the query has handled the result.
+	ended bool
 }
 
 // attemptResult is the outcome of an attempt, as passed to its query.
--- a/internal/home/reply.go
+++ b/internal/home/reply.go
@@ -33,9 +33,13 @@
 	return nil
 }
 
-// onResult handles the end of an attempt.
+// onResult handles the end of an attempt. A second result of an attempt is ignored.
 func (q *query) onResult(r attemptResult) {
 	a, now := r.attempt, time.Now()
+	if a.ended {
+		return
+	}
+	a.ended = true
 	q.removeRunning(a)
 	if q.quarantine.trialShard == a.shard {
 		q.quarantine.trialShard = noTrialShard
