A panic at the edges of an entry host fails only that call

A panic outside the home, in the choice of a home, the call of another host, a call of an operator or of a peer, or a command of the control loop ended the process and with it every request in flight. A ticket whose request panicked would have stayed in progress.

Change: interceptors of the gRPC server, a handler around the drpc multiplexer and the control loop recover. Requests are answered NOT_RUN if nothing was sent to a home, otherwise UNKNOWN; a resend of a ticket never gets NOT_RUN for a request that was executed. The outcome of a ticket is recorded by a deferred call. A command of the control loop that panics reports false to its caller, so that a configuration that was not applied is not taken for applied.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -21,7 +21,9 @@
 // control owns the control state. Its methods must run in the control loop, except
 // view, do and homeOf.
 type control struct {
-	log      zerolog.Logger
+	log zerolog.Logger
+	// panicLog gets a line for each recovered panic.
+	panicLog zerolog.Logger
 	commands chan func()
 	stopped  chan struct{}
 	current  atomic.Pointer[View]
@@ -67,18 +69,22 @@
 // view returns the current View.
 func (c *control) view() *View { return c.current.Load() }
 
-// do runs fn in the control loop and waits for it. It returns false if the loop has
-// ended.
+// do runs fn in the control loop and waits for it. It returns false if fn panicked
+// or the loop has ended.
 func (c *control) do(fn func()) bool {
-	done := make(chan struct{})
+	completed, done := false, make(chan struct{})
 	select {
-	case c.commands <- func() { fn(); close(done) }:
+	case c.commands <- func() {
+		defer close(done)
+		fn()
+		completed = true
+	}:
 	case <-c.stopped:
 		return false
 	}
 	select {
 	case <-done:
-		return true
+		return completed
 	case <-c.stopped:
 		return false
 	}
@@ -94,16 +100,21 @@
 		case <-ctx.Done():
 			return
 		case fn := <-c.commands:
-			fn()
+			c.recoverPanic("command of the control loop", fn)
 		case <-ticker.C:
-			c.sweep(time.Now())
+			c.recoverPanic("sweep", func() { c.sweep(time.Now()) })
 		}
 		if c.dirty || c.members.Version() != c.publishedVersion {
-			c.publish()
+			c.recoverPanic("publication of the view", c.publish)
 		}
 	}
 }
 
+// recoverPanic runs fn and recovers from a panic, which would end the process.
+func (c *control) recoverPanic(work string, fn func()) {
+	_ = home.RecoverPanic(&c.panicLog, work, "", fn)
+}
+
 func (c *control) sweep(now time.Time) {
 	for _, dead := range c.members.Tick(now) {
 		c.log.Info().Str("member", dead.Host).Msg("member is dead")
@@ -173,10 +184,10 @@
 }
 
 // homeOf returns the configured home of a service at this host, created if needed. It
-// returns false if the service is not in the configuration or the loop has ended.
+// returns false if the service is not in the configuration, the loop has ended or its creation panicked.
 func (c *control) homeOf(name string) (*home.Service, bool) {
 	var s *home.Service
-	c.do(func() {
+	completed := c.do(func() {
 		p, ok := c.view().Service(name)
 		if !ok {
 			return
@@ -187,7 +198,7 @@
 			s.Configure(p.Spec, p.slotShare(), c.view().LeavingLeaf)
 		}
 	})
-	return s, s != nil
+	return s, completed && s != nil
 }
 
 // applyConfig applies a configuration if it is newer than the current one.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/mallowgap/mallowgap/drain"
 	"github.com/mallowgap/mallowgap/internal/home"
 	"github.com/mallowgap/mallowgap/internal/leaf"
+	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/peer"
 	"github.com/mallowgap/mallowgap/internal/platform"
 	"github.com/mallowgap/mallowgap/internal/secure"
@@ -32,7 +33,7 @@
 )
 
 var (
-	errStopped    = errors.New("the entry host has stopped: call another entry host")
+	errStopped    = errors.New("the entry host has stopped or met a fault of its program: call another entry host")
 	errWrongReply = errors.New("the home returned the reply to another request: check that all entry hosts run the same version")
 )
 
@@ -59,11 +60,13 @@
 	incarnation uint64
 	settings    *settingspb.Entry
 	log         zerolog.Logger
-	store       platform.Store
-	hosts       platform.HostList
-	leaves      leaf.Client
-	peers       peer.Client
-	identity    *secure.Identity
+	// panicLog gets a line for each recovered panic.
+	panicLog zerolog.Logger
+	store    platform.Store
+	hosts    platform.HostList
+	leaves   leaf.Client
+	peers    peer.Client
+	identity *secure.Identity
 
 	control *control
 	ledger  *once.Ledger
@@ -83,6 +86,7 @@
 		incarnation: incarnation,
 		settings:    settings,
 		log:         log,
+		panicLog:    obs.RateLimited(log, panicLinesPerSecond),
 		store:       dependencies.Store,
 		hosts:       dependencies.Hosts,
 		leaves:      dependencies.Leaves,
@@ -95,6 +99,7 @@
 		Domain: settings.GetHost().GetFailureDomain(), Incarnation: incarnation,
 	}
 	d.control = newControl(self, settings.GetMembership().GetSuspicion().AsDuration(), log)
+	d.control.panicLog = d.panicLog
 	d.control.newService = d.newService
 	d.control.onConfigChange = func() { go d.pushUpdates(d.ctx) }
 	return d
@@ -126,7 +131,8 @@
 		OnLeafRestarted: func(address string, incarnation uint64) {
 			d.control.do(func() { d.control.learnRestarted(address, incarnation) })
 		},
-		Seed: d.incarnation,
+		Seed:     d.incarnation,
+		PanicLog: d.panicLog,
 	})
 }
 
@@ -255,6 +261,8 @@
 		grpc.Creds(d.identity.ServerCredentials()),
 		grpc.MaxRecvMsgSize(int(d.settings.GetListen().GetMaxMessageBytes())),
 		grpc.StatsHandler(refusedCallCounter{}),
+		grpc.UnaryInterceptor(d.recoverUnary),
+		grpc.StreamInterceptor(d.recoverStream),
 	)
 	callerpb.RegisterQueryServer(s.callerServer, queryServer{Daemon: d})
 	operatorpb.RegisterOperatorServer(s.callerServer, d.Operators())
@@ -262,7 +270,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, d); err != nil {
 		return nil, fmt.Errorf("register the peer protocol: %w", err)
 	}
-	s.peerServer = drpcserver.New(mux)
+	s.peerServer = drpcserver.New(recoveringHandler{handler: mux, daemon: d})
 	s.ctx, s.stopPeers = context.WithCancel(ctx)
 	s.httpServer = &http.Server{Handler: d.httpHandler(), ReadHeaderTimeout: 5 * time.Second}
 	return s, nil
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -111,7 +111,15 @@
 }
 
 // revisionAt returns the revision applied at a member, or 0 if it does not reply.
-func (o operatorServer) revisionAt(ctx context.Context, m member.Fact) uint64 {
+func (o operatorServer) revisionAt(ctx context.Context, m member.Fact) (revision uint64) {
+	_ = o.recoverPanic("check of a member", "", func() error {
+		revision = o.askRevision(ctx, m)
+		return nil
+	})
+	return revision
+}
+
+func (o operatorServer) askRevision(ctx context.Context, m member.Fact) uint64 {
 	if m.Host == o.name {
 		return o.control.view().Revision
 	}
--- a/internal/entry/redeem.go
+++ b/internal/entry/redeem.go
@@ -81,17 +81,24 @@
 func (d *Daemon) runOnce(ctx context.Context, ticket once.Ticket, req *callerpb.AskRequest) *callerpb.AskReply {
 	ctx, cancel := detachedContext(ctx)
 	defer cancel()
+	reply := d.serveAndRecord(ctx, ticket, req)
+	if req.GetWantTicket() && len(reply.GetTicket()) == 0 {
+		reply.Ticket = d.ledger.Mint(req.GetDesk(), req.GetService(), "")
+	}
+	return reply
+}
+
+// serveAndRecord executes a request and records its outcome. After a panic the recorded outcome is that
+// it is unknown, so that a resend of the request does not wait for it.
+func (d *Daemon) serveAndRecord(ctx context.Context, ticket once.Ticket, req *callerpb.AskRequest) *callerpb.AskReply {
+	var encoded []byte
+	defer func() { d.ledger.Finish(ticket, encoded) }()
 	reply := d.serveAsHome(ctx, req)
 	if reply.GetOutcome() == callerpb.Outcome_NOT_RUN {
 		reply.Ticket = d.ledger.Renew(req.GetDesk(), req.GetService(), req.GetRequestId())
 	}
-	encoded, err := proto.Marshal(reply)
-	if err != nil {
-		encoded = nil
-	}
-	d.ledger.Finish(ticket, encoded)
-	if req.GetWantTicket() && len(reply.GetTicket()) == 0 {
-		reply.Ticket = d.ledger.Mint(req.GetDesk(), req.GetService(), "")
+	if outcome, err := proto.Marshal(reply); err == nil {
+		encoded = outcome
 	}
 	return reply
 }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -42,7 +42,7 @@
 		ctx, cancel = context.WithTimeout(ctx, d.settings.GetTraffic().GetDefaultDeadline().AsDuration())
 		defer cancel()
 	}
-	reply := d.route(ctx, req)
+	reply := d.replyOrPanic("request of a caller", req, home.PanicUnknown, func() *callerpb.AskReply { return d.route(ctx, req) })
 	obs.CountReply(reply)
 	return reply, nil
 }
@@ -50,6 +50,21 @@
 // route validates a request and sends it to the host that has to run it.
 func (d *Daemon) route(ctx context.Context, req *callerpb.AskRequest) *callerpb.AskReply {
 	v := d.control.view()
+	if refusal := d.replyOrPanic("check of a request", req, d.refusePanic, func() *callerpb.AskReply { return d.check(ctx, v, req) }); refusal != nil {
+		return refusal
+	}
+	if p, _ := v.Service(req.GetService()); p.Spec.GetNotRepeatable() && !req.GetNotRepeatable() {
+		req = proto.Clone(req).(*callerpb.AskRequest)
+		req.NotRepeatable = true
+	}
+	if req.GetNotRepeatable() && len(req.GetTicket()) > 0 {
+		return d.redeemAtMinter(ctx, v, req)
+	}
+	return d.runAtHome(ctx, req)
+}
+
+// check returns the refusal of a request that cannot be run, or nil.
+func (d *Daemon) check(ctx context.Context, v *View, req *callerpb.AskRequest) *callerpb.AskReply {
 	if v.Revision == 0 {
 		return d.refuse(req, callerpb.Reason_NOT_READY, "this entry host has no configuration yet: send the request to another entry host", notReadyRetryAfter)
 	}
@@ -59,21 +74,13 @@
 	if _, ok := v.Rank(req.GetDesk()); !ok {
 		return d.refuse(req, callerpb.Reason_UNKNOWN_DESK, fmt.Sprintf("desk %q is not configured: ask the operators to add it", req.GetDesk()), 0)
 	}
-	p, ok := v.Service(req.GetService())
-	if !ok {
+	if _, ok := v.Service(req.GetService()); !ok {
 		return d.refuse(req, callerpb.Reason_UNKNOWN_SERVICE, fmt.Sprintf("service %q is not configured: correct the name", req.GetService()), 0)
 	}
 	if deadline, _ := ctx.Deadline(); time.Until(deadline) <= forwardMargin {
 		return d.refuse(req, callerpb.Reason_DEADLINE_TOO_SHORT, "the deadline has passed: set a longer deadline", 0)
 	}
-	if p.Spec.GetNotRepeatable() && !req.GetNotRepeatable() {
-		req = proto.Clone(req).(*callerpb.AskRequest)
-		req.NotRepeatable = true
-	}
-	if req.GetNotRepeatable() && len(req.GetTicket()) > 0 {
-		return d.redeemAtMinter(ctx, v, req)
-	}
-	return d.runAtHome(ctx, req)
+	return nil
 }
 
 // refuse returns the reply to a request that is rejected before it was sent to a home.
@@ -150,8 +157,12 @@
 		stop := d.cancelIfSilent(target.Host, remaining, cancel)
 		defer stop()
 	}
-	reply, err := d.peers.Forward(ctx, target.Address, &peerpb.ForwardRequest{
-		Ask: req, TimeoutUs: uint64(max(remaining, 0).Microseconds()), From: d.name,
+	var reply *callerpb.AskReply
+	err := d.recoverPanic("request to a peer", req.GetRequestId(), func() (err error) {
+		reply, err = d.peers.Forward(ctx, target.Address, &peerpb.ForwardRequest{
+			Ask: req, TimeoutUs: uint64(max(remaining, 0).Microseconds()), From: d.name,
+		})
+		return err
 	})
 	if err == nil {
 		d.lastReplies.record(target.Host)
@@ -169,11 +180,14 @@
 func (d *Daemon) cancelIfSilent(host string, remaining time.Duration, cancel context.CancelFunc) (stop func()) {
 	sent := time.Now()
 	timer := time.AfterFunc(max(remaining/silenceDivisor, minSilenceTimeout), func() {
-		if d.lastReplies.last(host).Before(sent) {
-			obs.Counter("mallowgap_forward_retries_total", "reason", "silent").Inc()
-			d.control.do(func() { d.control.members.ProbeFailed(host, time.Now()) })
-			cancel()
-		}
+		_ = d.recoverPanic("check for a silent peer", "", func() error {
+			if d.lastReplies.last(host).Before(sent) {
+				obs.Counter("mallowgap_forward_retries_total", "reason", "silent").Inc()
+				d.control.do(func() { d.control.members.ProbeFailed(host, time.Now()) })
+				cancel()
+			}
+			return nil
+		})
 	})
 	return func() { timer.Stop() }
 }
@@ -184,7 +198,8 @@
 	defer d.inFlight.Done()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetTimeoutUs())*time.Microsecond)
 	defer cancel()
-	return d.serveLocally(ctx, request.GetAsk()), nil
+	req := request.GetAsk()
+	return d.replyOrPanic("request of a peer", req, home.PanicUnknown, func() *callerpb.AskReply { return d.serveLocally(ctx, req) }), nil
 }
 
 // serveLocally runs a request at this host, as a home of its service or as the host
@@ -201,10 +216,18 @@
 
 // serveAsHome runs a request at this host's home of its service.
 func (d *Daemon) serveAsHome(ctx context.Context, req *callerpb.AskRequest) *callerpb.AskReply {
-	rank, known := d.control.view().Rank(req.GetDesk())
-	s, ok := d.homeOf(req.GetService())
-	if !ok || !known {
-		return home.NotRun(req, callerpb.Reason_NOT_READY, "the home has not applied this configuration yet: retry later", notReadyRetryAfter)
+	var s *home.Service
+	var rank uint32
+	refusal := d.replyOrPanic("choice of a home", req, home.PanicNotRun, func() *callerpb.AskReply {
+		var known, ok bool
+		rank, known = d.control.view().Rank(req.GetDesk())
+		if s, ok = d.homeOf(req.GetService()); !ok || !known {
+			return home.NotRun(req, callerpb.Reason_NOT_READY, "the home has not applied this configuration yet: retry later", notReadyRetryAfter)
+		}
+		return nil
+	})
+	if refusal != nil {
+		return refusal
 	}
 	return s.Serve(ctx, req, rank)
 }
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -138,7 +138,9 @@
 func (d *Daemon) adoptHead(head *configpb.Head, fetch func(missing []config.Digest) (config.Parts, error)) error {
 	var missing []config.Digest
 	var err error
-	d.control.do(func() { missing, err = d.control.holder.MissingParts(head) })
+	if !d.control.do(func() { missing, err = d.control.holder.MissingParts(head) }) {
+		return errStopped
+	}
 	if err != nil {
 		return err
 	}
@@ -148,7 +150,9 @@
 			return err
 		}
 	}
-	d.control.do(func() { err = d.control.applyConfig(head, parts) })
+	if !d.control.do(func() { err = d.control.applyConfig(head, parts) }) {
+		return errStopped
+	}
 	return err
 }
 
