One place logs a recovered panic

Behaviour: the line of the control state and of the coordination survives a panic of the log too.

Evidence: the tests of the six packages pass.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -87,12 +85,6 @@
 	initialized chan struct{}
 }
 
-// panicsRecovered counts panics of the control goroutine that are not those of a single entry.
-var panicsRecovered = metrics.GetOrCreateCounter("mallowgap_faults_contained_total")
-
-// maxStackBytes limits the stack trace in a log line, in bytes.
-const maxStackBytes = 2000
-
 // entriesSkipped counts entries whose processing panicked.
 var entriesSkipped = metrics.GetOrCreateCounter("mallowgap_entries_left_out_total")
 
@@ -151,9 +143,7 @@
 func (s *state) contain(work string, fn func()) {
 	defer func() {
 		if value := recover(); value != nil {
-			panicsRecovered.Inc()
-			stack := debug.Stack()
-			s.log.Error().Str("work", work).Str("fault", fmt.Sprint(value)).Bytes("stack", stack[:min(len(stack), maxStackBytes)]).Msg("recovered from a panic: the control state goes on as far as it got")
+			obs.LogPanic(&s.log, work, value, "recovered from a panic: the control state goes on as far as it got", func(e *zerolog.Event) *zerolog.Event { return e })
 		}
 	}()
 	fn()
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -15,8 +15,6 @@
 	// connectedHosts is the number of hosts that are connected to this one as their coordinator.
 	connectedHosts = metrics.GetOrCreateGauge("mallowgap_coordinated_hosts", nil)
 
-	faultsContained = metrics.GetOrCreateCounter("mallowgap_faults_contained_total")
-
 	refusedByCoordinator = obs.Counter("mallowgap_quota_refusals_total", "by", "coordinator")
 	refusedByFraction    = obs.Counter("mallowgap_quota_refusals_total", "by", "fraction")
 )
--- a/internal/gateway/answered_test.go
+++ b/internal/gateway/answered_test.go
@@ -16,6 +16,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/fanout"
+	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/peer"
 	"github.com/mallowgap/mallowgap/quota"
 	"github.com/mallowgap/mallowgap/route"
@@ -626,12 +627,12 @@
 		for _, g := range cl.hosts {
 			g.adapters.Peers = &rewritingPeers{cl.peers, relayFailures["an unknown outcome"]}
 		}
-		before, panics := cl.peers.gathers.Load(), panicsRecovered.Get()
+		before, panics := cl.peers.gathers.Load(), obs.PanicsRecovered.Get()
 		for _, s := range cl.askEverywhere(cl.ctx, func() {}) {
 			assert.Assert(cl.t, s.answer.Outcome != TimedOut && s.took < answeredTimeout/2, "%s at %s after %v: %+v", s.path, s.host, s.took, s.answer)
 		}
 		assert.Assert(cl.t, cl.peers.gathers.Load() > before, "no request was relayed")
-		assert.Equal(cl.t, panicsRecovered.Get(), panics)
+		assert.Equal(cl.t, obs.PanicsRecovered.Get(), panics)
 	})
 }
 
@@ -674,12 +675,12 @@
 		t.Run(name, func(t *testing.T) {
 			withCluster(t, config, servers, hosts, func(cl *cluster) {
 				time.Sleep(2 * time.Second)
-				before := panicsRecovered.Get()
+				before := obs.PanicsRecovered.Get()
 				test.arrange(cl)
 				s := serveRecovered("host1", test.path, func() Answer { return cl.ask("host1", test.path) })
 				assert.Assert(cl.t, s.panicked == nil && s.answer.Cause != CausePanic, "%+v", s)
 				assert.Equal(cl.t, s.answer.Outcome, test.want, "%+v", s)
-				assert.Assert(cl.t, panicsRecovered.Get() > before, "nothing panicked")
+				assert.Assert(cl.t, obs.PanicsRecovered.Get() > before, "nothing panicked")
 			})
 		})
 	}
--- a/internal/gateway/contain.go
+++ b/internal/gateway/contain.go
@@ -3,16 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"runtime/debug"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
-)
-
-// maxStackBytes limits the stack trace in a log line, in bytes.
-const maxStackBytes = 2000
 
-var panicsRecovered = metrics.GetOrCreateCounter("mallowgap_faults_contained_total")
+	"github.com/mallowgap/mallowgap/internal/obs"
+)
 
 // PanicError reports a panic while a request or a peer's message was processed.
 type PanicError struct {
@@ -47,15 +42,9 @@
 // logPanic logs and counts a panic. It must be called by the deferred function that recovers, so that
 // the stack is that of the panic.
 func (g *Gateway) logPanic(work, request string, value any, addFields func(*zerolog.Event) *zerolog.Event) {
-	panicsRecovered.Inc()
-	defer func() {
-		if recover() != nil {
-			panicsRecovered.Inc() // The log itself panicked, so it can't be told.
-		}
-	}()
-	stack := debug.Stack()
-	e := g.requestLog.faults.Error().Str("request", request).Str("work", work).Str("fault", fmt.Sprint(value)).Bytes("stack", stack[:min(len(stack), maxStackBytes)])
-	addFields(e).Msg("recovered from a panic: the operation fails, the gateway continues")
+	obs.LogPanic(&g.requestLog.faults, work, value, "recovered from a panic: the operation fails, the gateway continues", func(e *zerolog.Event) *zerolog.Event {
+		return addFields(e.Str("request", request))
+	})
 }
 
 // ReportPanic logs and counts a panic outside Serve, while a request was decoded or its answer
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -15,6 +15,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/discovery"
 	"github.com/mallowgap/mallowgap/internal/control/fakestore"
+	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
 // panicking panics while the request is processed.
@@ -104,7 +105,7 @@
 			defer func() { ended <- struct{}{} }()
 			return silent(ctx, r)
 		})
-		panics := panicsRecovered.Get()
+		panics := obs.PanicsRecovered.Get()
 		r := cl.newRequest("/q/x")
 		a := g.Serve(cl.ctx, r)
 		assert.Assert(t, a.Outcome == Failed && a.Cause == CausePanic && a.RetryAfter == 0, "%+v", a)
@@ -112,7 +113,7 @@
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, len(ended), 1, "the call in flight must be cancelled")
 		assert.Equal(t, g.InFlight(), 0)
-		assert.Equal(t, panicsRecovered.Get(), panics+1)
+		assert.Equal(t, obs.PanicsRecovered.Get(), panics+1)
 		lines := strings.Split(strings.TrimSpace(log.String()), "\n")
 		assert.Equal(t, len(lines), 2, log.String())
 		for line, wants := range map[string][]string{
@@ -231,12 +232,12 @@
 func TestSuccessWithoutAReplyIsAFailure(t *testing.T) {
 	withCluster(t, fewConnectionsConfig(), serversOf([]string{"single"}, "a1"), eightHosts, func(cl *cluster) {
 		time.Sleep(2 * time.Second) // The hosts learn of each other.
-		outcomes, panics := map[Outcome]int{}, panicsRecovered.Get()
+		outcomes, panics := map[Outcome]int{}, obs.PanicsRecovered.Get()
 		for _, host := range eightHosts {
 			cl.hosts[host.name].adapters.Peers = replylessPeers{cl.peers}
 			outcomes[cl.ask(host.name, "/once/x").Outcome]++
 		}
 		assert.DeepEqual(t, outcomes, map[Outcome]int{Forwarded: 2, Failed: 6})
-		assert.Equal(t, panicsRecovered.Get(), panics)
+		assert.Equal(t, obs.PanicsRecovered.Get(), panics)
 	})
 }
--- a/internal/gateway/replies_test.go
+++ b/internal/gateway/replies_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
 // answerOfWaitingReplies returns the answer to a hedged request to one server, if all replies wait to be
@@ -62,9 +63,9 @@
 	withCluster(t, shardedConfig(1, 3), serversOf(shardNames(3), "b1"), hosts, func(cl *cluster) {
 		time.Sleep(2 * time.Second) // The hosts learn of each other.
 		cl.hosts["host1"].adapters.Peers = newerPeers{cl.peers}
-		panics := panicsRecovered.Get()
+		panics := obs.PanicsRecovered.Get()
 		a := cl.ask("host1", "/q/x")
-		assert.Check(t, panicsRecovered.Get() == panics, "the result panicked")
+		assert.Check(t, obs.PanicsRecovered.Get() == panics, "the result panicked")
 		assert.Assert(t, a.Outcome == Gathered && a.Gathered.Missing <= 1, "%+v", a)
 	})
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -29,6 +29,8 @@
 	serverLinesPerSecond = 10
 	// httpErrorLinesPerSecond limits the log lines of one process about errors of its HTTP servers.
 	httpErrorLinesPerSecond = 5
+	// maxServerErrorBytes limits a line of net/http in the log, in bytes. It may hold a stack trace.
+	maxServerErrorBytes = 2000
 	// faultLinesPerSecond limits the log lines of one process about panics, which hold a stack trace.
 	faultLinesPerSecond = 10
 )
@@ -48,7 +50,7 @@
 // Write implements io.Writer.
 func (w httpErrorWriter) Write(message []byte) (int, error) {
 	httpServerErrors.Inc()
-	text := strings.TrimSpace(string(message[:min(len(message), maxStackBytes)]))
+	text := strings.TrimSpace(string(message[:min(len(message), maxServerErrorBytes)]))
 	w.log.Error().Str("error", text).Msg("error of an HTTP server")
 	return len(message), nil
 }
--- a/internal/home/contain.go
+++ b/internal/home/contain.go
@@ -3,23 +3,16 @@
 import (
 	"errors"
 	"fmt"
-	"runtime/debug"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/mallowgap/mallowgap/api/callerpb"
+	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
-const (
-	// maxStackBytes limits the stack trace in a log line, in bytes.
-	maxStackBytes = 2000
-	// panicRetryAfter is the retry delay suggested after a panic.
-	panicRetryAfter = 200 * time.Millisecond
-)
-
-var panicsRecovered = metrics.GetOrCreateCounter("mallowgap_faults_contained_total")
+// panicRetryAfter is the retry delay suggested after a panic.
+const panicRetryAfter = 200 * time.Millisecond
 
 // PanicError reports a panic while a request or a peer's message was processed.
 type PanicError struct {
@@ -52,25 +45,13 @@
 // recoverTo must be deferred. It converts a panic into a *PanicError in err.
 func recoverTo(err *error, log *zerolog.Logger, work, request string) {
 	if value := recover(); value != nil {
-		logPanic(log, work, request, value)
+		obs.LogPanic(log, work, value, "recovered from a panic: the operation fails, the entry host continues", func(e *zerolog.Event) *zerolog.Event {
+			return e.Str("request", request)
+		})
 		*err = &PanicError{Operation: work, Value: value}
 	}
 }
 
-// logPanic logs and counts a panic. It must be called by the deferred function that recovers, so that
-// the stack is that of the panic.
-func logPanic(log *zerolog.Logger, work, request string, value any) {
-	panicsRecovered.Inc()
-	defer func() {
-		if recover() != nil {
-			panicsRecovered.Inc() // The log itself panicked, so it can't be told.
-		}
-	}()
-	stack := debug.Stack()
-	log.Error().Str("request", request).Str("work", work).Str("fault", fmt.Sprint(value)).Bytes("stack", stack[:min(len(stack), maxStackBytes)]).
-		Msg("recovered from a panic: the operation fails, the entry host continues")
-}
-
 // PanicNotRun returns the reply to a request that no leaf executed because of a panic.
 func PanicNotRun(req *callerpb.AskRequest) *callerpb.AskReply {
 	return NotRun(req, callerpb.Reason_REASON_UNSPECIFIED, panicMessage+": retry later", panicRetryAfter)
