Messages between hosts may be as large as the responses of servers

What callers saw: a request to one server whose response is larger than 4 MiB failed with 502 wherever it passes a relay, after the server had run it, and the relay was suspected; up to 16 MiB are accepted from a server itself.

Cause: DRPC limits a message to 4 MiB by default (protocol error: data overflow). The complete state that a follower gets is one such message too.

Change: clients and servers of peers accept 17 MiB. The buffer grows with the message, as that for a direct response does.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -270,7 +270,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, d); err != nil {
 		return nil, fmt.Errorf("register the peer protocol: %w", err)
 	}
-	s.peerServer = drpcserver.New(recoveringHandler{handler: mux, daemon: d})
+	s.peerServer = peer.NewServer(recoveringHandler{handler: mux, daemon: d})
 	s.ctx, s.stopPeers = context.WithCancel(ctx)
 	s.httpServer = &http.Server{Handler: d.httpHandler(), ReadHeaderTimeout: 5 * time.Second}
 	return s, nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/pause"
+	"github.com/mallowgap/mallowgap/internal/peer"
 )
 
 const (
@@ -126,7 +127,7 @@
 	if err := relaypb.DRPCRegisterRelay(mux, g); err != nil {
 		return nil, fmt.Errorf("register the relay protocol: %w", err)
 	}
-	s.peers = drpcserver.New(mux)
+	s.peers = peer.NewServer(mux)
 	return s, nil
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,7 +10,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/mallowgap/mallowgap/api/callerpb"
 	"github.com/mallowgap/mallowgap/api/peerpb"
@@ -60,8 +63,20 @@
 	maxIdlePerPeer = 32
 	// maxIdleTotal bounds the idle connections kept to all peers.
 	maxIdleTotal = 512
+	// maxMessage bounds a message between hosts, in bytes: the largest response of a server that is
+	// accepted, with its header.
+	maxMessage = 17 << 20
 )
 
+// NewServer returns a server for the calls of peers. It accepts messages as large as those of clients.
+func NewServer(handler drpc.Handler) *drpcserver.Server {
+	return drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
 // DRPCClient calls peers over DRPC. It implements Client and is safe for concurrent use.
 type DRPCClient struct {
 	pool        *drpcpool.Pool[string, drpcpool.Conn]
@@ -111,7 +126,7 @@
 			dialErr = err
 			return nil, err
 		}
-		return drpcconn.New(raw), nil
+		return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 	})
 	defer func() { _ = conn.Close() }()
 	err := fn(conn)
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -25,6 +25,13 @@
 	barrier sync.WaitGroup
 }
 
+// largeReply is the size of the reply to a relayed request to one server, in bytes. Servers may send more.
+const largeReply = 5 << 20
+
+func (s *relayStub) Gather(_ *relaypb.GatherRequest, stream relaypb.DRPCRelay_GatherStream) error {
+	return stream.Send(&relaypb.GatherReply{Results: []*relaypb.CallResult{{Reply: &relaypb.ServerReply{Status: 200, Body: make([]byte, largeReply)}}}})
+}
+
 func (s *relayStub) State(_ context.Context, m *relaypb.StateRequest) (*relaypb.StateReply, error) {
 	if m.GetRevision() > 0 {
 		s.barrier.Done()
@@ -113,3 +120,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reply.GetRevision(), uint64(7))
 }
+
+// A reply that a server may send must be able to pass a relay: a larger message fails the call, after the
+// server has run the request.
+func TestLargeReplyPassesARelay(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := drpcmux.New()
+	assert.NilError(t, relaypb.DRPCRegisterRelay(mux, &relayStub{}))
+	go func() { _ = drpcserver.New(mux).Serve(ctx, listener) }()
+	client := peer.NewDRPCClient(time.Second, nil)
+	defer func() { _ = client.Close() }()
+	received := 0
+	err = client.Gather(ctx, listener.Addr().String(), &relaypb.GatherRequest{}, func(r *relaypb.GatherReply) {
+		received += len(r.GetResults()[0].GetReply().GetBody())
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, received, largeReply)
+}
