--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -99,7 +99,8 @@
 	reachedServer bool
 	// mayHaveRun reports whether a server failed while it had the request and may have run it.
 	mayHaveRun bool
-	// reply is the best reply so far to a request that is not a query.
+	// reply answers a request that is not a query: the reply of the server that served it, until then that
+	// of the last one that failed.
 	reply *Reply
 	// trial tracks servers that crash while running the request.
 	trial trial
