--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,7 +16,7 @@
   if cmp -s "$file" "$scratch/tree/$file"; then
     echo "STALE    $test: $meaning (the expression does not match $file)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination ./quota -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination ./quota ./internal/callerconn -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -211,7 +211,7 @@
 TestPanicOfAListenerDoesNotEndTheControlState@internal/control/state.go@s/s.contain\("change of servers", func\(\) \{ (.*) \}\)\n/$1\n/@a panic in the request path keeps the state from being published
 TestStoppingListenerAcceptsWhatWaits@internal/callerconn/tracker.go@s/if !ok \|\| !tracked.stop\(\) \{/if ok || !tracked.stop() {/@a stop resets connections that wait to be accepted
 TestShutdownAnswersARequestThatIsBeingRead@internal/callerconn/conn.go@s/c.idleSince.IsZero\(\) \|\| //@a connection of which a request is read is closed as idle
-TestRequestsThatAShutdownAbortsAreAnswered@internal/gateway/query.go@s/if aborting \{\n/if false {\n/@requests in flight at the end of a stop are cut
+TestRequestsThatAShutdownAbortsAreAnswered@internal/gateway/gateway.go@s/\tclose\(g.aborting\)\n//@requests in flight at the end of a stop are cut
 TestWaitForTheAllowanceEndsWithTheRequest@internal/gateway/quota.go@s/if ruling.Action == quota.AskFirst && /if false \&\& /@a request that was not decided is refused without a reason
 LIST
 exit $survived
