One place says which statuses are those of a final response

The adapter and the decoding of a relay's reply each had the bounds of a status that net/http can write. Cause: two parts of this change mended the same fault side by side.

Evidence: the tests of both packages that concern statuses, replies, relays, callers and panics pass.

--- a/internal/gateway/relaywire.go
+++ b/internal/gateway/relaywire.go
@@ -51,8 +51,8 @@
 	return time.Duration(min(micros, uint64(max(limit, 0).Microseconds()))) * time.Microsecond
 }
 
-// isFinalStatus reports whether a status is that of a final HTTP response, and can be sent.
-func isFinalStatus(status uint32) bool { return status >= http.StatusOK && status <= maxStatus }
+// IsFinalStatus reports whether a status is that of a final HTTP response, and can be sent.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
 // setServerIDs sets the servers of a request, packed if packs is set and packing is possible.
 func setServerIDs(m *relaypb.GatherRequest, ids []string, packs bool) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -392,7 +392,7 @@
 	switch reply := r.GetReply(); {
 	case reply == nil && r.GetOutcome() == relaypb.Outcome_PART && rc.query.entry.Query == nil:
 		return errNoReply
-	case reply != nil && !isFinalStatus(reply.GetStatus()):
+	case reply != nil && !IsFinalStatus(int(reply.GetStatus())):
 		return errStatus
 	}
 	return nil
