Sight: who told of a server that leaves, whether it stays in use, and calls of servers that have no registration

"server no longer registered" and "server registered" have the source, the first one whether the server is kept; two counters; the lines of requests and of relayed calls have the revision that the host knew. No change of logic.

--- a/discovery/registry.go
+++ b/discovery/registry.go
@@ -37,6 +37,9 @@
 	// Evacuated is set if the failure domain of the server gets no requests. It is set
 	// by the registry.
 	Evacuated bool
+	// Unregistered is set if the registration has disappeared and the server is still in use,
+	// because it may have lapsed in an outage of the store. It is set by the registry.
+	Unregistered bool
 }
 
 // Replaces reports whether s is a later process than other under the same identifier.
@@ -201,6 +204,7 @@
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
 		server := r.entries[id].server
 		server.Evacuated = r.evacuated[server.Domain]
+		server.Unregistered = r.entries[id].lapsed
 		servers = append(servers, server)
 	}
 	return servers
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -162,7 +162,7 @@
 				// cannot reach it would delay the expiry of entries and cost a store call.
 				return errLeaderPartitioned
 			}
-			if err := c.applyReply(ctx, reply, &nextProbe); err != nil {
+			if err := c.applyReply(ctx, leader, reply, &nextProbe); err != nil {
 				return err
 			}
 		case err := <-failed:
@@ -185,7 +185,7 @@
 
 // applyReply applies one message of the leader. It returns an error if the message is invalid,
 // the leader is stale, or the leader has lost a store that this host reaches.
-func (c *Control) applyReply(ctx context.Context, reply *relaypb.FollowReply, nextProbe *time.Time) error {
+func (c *Control) applyReply(ctx context.Context, leader Host, reply *relaypb.FollowReply, nextProbe *time.Time) error {
 	now := time.Now()
 	c.leaderFailures = 0
 	c.announcer.setDelegated(reply.GetKeepsEntry())
@@ -194,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	batch := Batch{Revision: reply.GetRevision(), Entries: entries}
+	batch := Batch{Revision: reply.GetRevision(), Entries: entries, Source: leader.Name}
 	c.state.do(ctx, func() {
 		c.state.setStoreStatus(!reply.GetStoreLost(), errLeaderStale, now.Add(-age), now)
 		if reply.GetComplete() {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -120,7 +120,7 @@
 		c.log.Error().Err(err).Str("peer", address).Msg("ignoring invalid reply of a peer")
 		return false
 	}
-	batch := Batch{Revision: reply.GetRevision(), Entries: entries}
+	batch := Batch{Revision: reply.GetRevision(), Entries: entries, Source: address}
 	c.log.Info().Str("peer", address).Uint64("revision", batch.Revision).Uint64("known", known).Msg("state updated from a peer")
 	c.state.do(ctx, func() { c.state.applyBatch(batch, time.Now()) })
 	return fresh
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -85,6 +85,21 @@
 	initialized chan struct{}
 }
 
+var (
+	// serversRemoved and serversKept count the registrations of servers that disappeared, by whether
+	// the server was removed or kept in use.
+	serversRemoved = metrics.GetOrCreateCounter(`mallowgap_server_removals_total{result="removed"}`)
+	serversKept    = metrics.GetOrCreateCounter(`mallowgap_server_removals_total{result="kept"}`)
+)
+
+func countRemoval(removed bool) {
+	if removed {
+		serversRemoved.Inc()
+	} else {
+		serversKept.Inc()
+	}
+}
+
 // entriesSkipped counts entries whose processing panicked.
 var entriesSkipped = metrics.GetOrCreateCounter("mallowgap_entries_left_out_total")
 
@@ -191,7 +206,8 @@
 			removed = append(removed, Entry{Kind: key.kind, Name: key.name, Revision: batch.Revision, Removed: true})
 		}
 	}
-	s.applyEntries(append(removed, batch.Entries...), now)
+	batch.Entries = append(removed, batch.Entries...)
+	s.applyEntries(batch, now)
 	if !s.registry.Loaded() {
 		s.compactedRevision = batch.Revision
 	}
@@ -208,14 +224,14 @@
 	if len(batch.Entries) == 0 {
 		return
 	}
-	s.applyEntries(batch.Entries, now)
+	s.applyEntries(batch, now)
 	s.logTally(now)
 	s.publish(now)
 }
 
 // applyEntries applies the entries that are newer than the known ones.
-func (s *state) applyEntries(entries []Entry, now time.Time) {
-	for _, e := range entries {
+func (s *state) applyEntries(batch Batch, now time.Time) {
+	for _, e := range batch.Entries {
 		key := entryKey{e.Kind, e.Name}
 		if known, ok := s.entries[key]; ok && known.Revision >= e.Revision {
 			continue
@@ -226,13 +242,13 @@
 		} else {
 			s.entries[key] = e
 		}
-		s.applyOrSkip(e, now)
+		s.applyOrSkip(e, batch.source(), now)
 	}
 }
 
 // applyOrSkip applies an entry, or skips it if that panics: every host reads the same entries
 // and would panic again after a restart.
-func (s *state) applyOrSkip(e Entry, now time.Time) {
+func (s *state) applyOrSkip(e Entry, source string, now time.Time) {
 	defer func() {
 		if value := recover(); value != nil {
 			entriesSkipped.Inc()
@@ -240,7 +256,7 @@
 				Msg("panic while applying an entry: skipping it and keeping the last known state")
 		}
 	}()
-	s.applyEntry(e, now)
+	s.applyEntry(e, source, now)
 }
 
 // recordRemoval keeps a removal for followers and drops the oldest ones beyond maxRemovals.
@@ -252,14 +268,14 @@
 	}
 }
 
-func (s *state) applyEntry(e Entry, now time.Time) {
+func (s *state) applyEntry(e Entry, source string, now time.Time) {
 	switch e.Kind {
 	case relaypb.EntryKind_CONFIG:
 		if !e.Removed {
 			s.applyConfig(e, now)
 		}
 	case relaypb.EntryKind_SERVER:
-		s.applyServer(e, now)
+		s.applyServer(e, source, now)
 	case relaypb.EntryKind_HOST:
 		s.applyHost(e, now)
 	case relaypb.EntryKind_EVACUATION:
@@ -324,9 +340,9 @@
 	}
 }
 
-func (s *state) applyServer(e Entry, now time.Time) {
+func (s *state) applyServer(e Entry, source string, now time.Time) {
 	if e.Removed {
-		s.removeServer(e, now)
+		s.removeServer(e, source, now)
 		return
 	}
 	server, err := s.decoder.DecodeServer(e.Name, e.Value)
@@ -345,22 +361,24 @@
 		s.tally.draining++
 	}
 	if s.registry.Loaded() {
-		s.serverEvent(server).Bool("draining", server.Draining).Uint64("revision", e.Revision).Msg("server registered")
+		s.serverEvent(server).Bool("draining", server.Draining).Uint64("revision", e.Revision).Str("from", source).Msg("server registered")
 	}
 }
 
 // removeServer handles the removal of a server from the store.
-func (s *state) removeServer(e Entry, now time.Time) {
+func (s *state) removeServer(e Entry, source string, now time.Time) {
 	server, known := s.registry.Server(e.Name)
 	if !known {
 		return
 	}
-	if s.registry.Remove(e.Name, now) {
+	removed := s.registry.Remove(e.Name, now)
+	if removed {
 		s.tally.serversGone++
 	} else {
 		s.tally.kept++
 	}
-	s.serverEvent(server).Uint64("revision", e.Revision).Bool("store_away", !s.storeLost.IsZero()).Msg("server no longer registered")
+	countRemoval(removed)
+	s.serverEvent(server).Uint64("revision", e.Revision).Bool("store_away", !s.storeLost.IsZero()).Bool("kept", !removed).Str("from", source).Msg("server no longer registered")
 }
 
 // serverEvent starts a log event about a server if this host calls it directly, and returns
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -28,6 +28,16 @@
 	// Revision is the store's revision; later changes have higher ones.
 	Revision uint64
 	Entries  []Entry
+	// Source is the name or address of the host that sent the batch, or empty for the store itself.
+	Source string
+}
+
+// source describes where a batch came from, for the log.
+func (b Batch) source() string {
+	if b.Source == "" {
+		return "store"
+	}
+	return b.Source
 }
 
 // ErrCompacted is returned by Watch if the requested changes are no longer available and the
--- a/internal/control/tell.go
+++ b/internal/control/tell.go
@@ -65,7 +65,7 @@
 	c.state.do(ctx, func() {
 		for _, e := range decodeEntries(request.GetEntries()) {
 			if e.Kind == relaypb.EntryKind_QUARANTINE {
-				c.state.applyOrSkip(e, time.Now())
+				c.state.applyOrSkip(e, "peer", time.Now())
 			}
 		}
 	})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,9 @@
 // serversAbsent counts the servers found to be absent: nothing listened at the address any more.
 var serversAbsent = metrics.GetOrCreateCounter("mallowgap_servers_absent_total")
 
+// callsUnregistered counts the calls of servers whose registration had disappeared.
+var callsUnregistered = metrics.GetOrCreateCounter("mallowgap_calls_to_unregistered_servers_total")
+
 // httpServerErrors counts the errors that the HTTP servers of this process logged.
 var httpServerErrors = metrics.GetOrCreateCounter("mallowgap_http_server_errors_total")
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -132,7 +132,7 @@
 	if len(notes) > 0 || len(results) < len(m.GetServerIds()) {
 		log = &g.requestLog.bad
 	}
-	log.Info().Bytes("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
+	log.Info().Bytes("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Uint64("revision", g.control.View().Revision).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
 }
 
 func (g *Gateway) logRequest(s *requestState, a Answer, elapsed time.Duration) {
@@ -153,6 +153,7 @@
 	if v.Table != nil {
 		e = e.Uint64("version", a.Version).Dur("version_age", time.Since(v.TableSince))
 	}
+	e = e.Uint64("revision", v.Revision)
 	if !v.StoreLost.IsZero() {
 		e = e.Dur("store_lost", time.Since(v.StoreLost))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -51,6 +51,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	g.reportStart(c)
+	if c.backend.Unregistered {
+		callsUnregistered.Inc()
+	}
 	reply, err := g.adapters.Backends.Call(callCtx, c.backend.Server, r, timeout, freshConn)
 	now := time.Now()
 	elapsed := now.Sub(c.started)
