--- a/internal/control/fakestore/fakestore.go
+++ b/internal/control/fakestore/fakestore.go
@@ -48,14 +48,30 @@
 const Timeout = 600 * time.Millisecond
 
 // Partitioned connects one host to the store. While it is cut, reads, watches, creates and writes
-// of quarantine records hang until they time out.
+// of quarantine records hang until they time out; while it is refused, reads and watches fail at once.
 type Partitioned struct {
 	*Store
-	Cut atomic.Bool
+	Cut     atomic.Bool
+	refused atomic.Bool
+}
+
+// TurnAway makes the store reject the calls of this host, without an answer if silent.
+func (s *Partitioned) TurnAway(silent bool) {
+	s.Cut.Store(silent)
+	s.refused.Store(!silent)
+}
+
+// Admit ends TurnAway.
+func (s *Partitioned) Admit() {
+	s.Cut.Store(false)
+	s.refused.Store(false)
 }
 
 // Read implements control.Store.
 func (s *Partitioned) Read(ctx context.Context) (control.Batch, error) {
+	if s.refused.Load() {
+		return control.Batch{}, ErrDown
+	}
 	if s.Cut.Load() {
 		time.Sleep(Timeout)
 		return control.Batch{}, context.DeadlineExceeded
@@ -65,6 +81,9 @@
 
 // Watch implements control.Store.
 func (s *Partitioned) Watch(ctx context.Context, after uint64, wait time.Duration) (control.Batch, error) {
+	if s.refused.Load() {
+		return control.Batch{}, ErrDown
+	}
 	batch, err := s.Store.Watch(ctx, after, wait)
 	if s.Cut.Load() {
 		<-ctx.Done()
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -33,9 +33,35 @@
 // testHost is one host of the cluster.
 type testHost struct {
 	*control.Control
-	store  *fakestore.Partitioned
-	ctx    context.Context
-	cancel context.CancelFunc
+	store *fakestore.Partitioned
+	// servers are those that the host sends requests to.
+	servers *serverSet
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// serverSet records the servers in service of one host.
+type serverSet struct {
+	noopListener
+	mu    sync.Mutex
+	inUse map[string]bool
+}
+
+// ServersChanged implements control.Listener.
+func (s *serverSet) ServersChanged(servers []discovery.Server, _ func(discovery.Server) control.Share, _ time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inUse = map[string]bool{}
+	for _, server := range servers {
+		s.inUse[server.ID] = !server.Draining
+	}
+}
+
+// uses reports whether the host sends requests to a server.
+func (s *serverSet) uses(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inUse[id]
 }
 
 // noopListener ignores all changes.
@@ -94,11 +120,11 @@
 		CallTimeout: durationpb.New(fakestore.Timeout), WatchWait: durationpb.New(800 * time.Millisecond),
 		WatchSlack: durationpb.New(400 * time.Millisecond), Lease: durationpb.New(lease),
 	}
-	m := &testHost{store: &fakestore.Partitioned{Store: c.store}}
+	m := &testHost{store: &fakestore.Partitioned{Store: c.store}, servers: &serverSet{}}
 	m.Control = control.New(control.Config{
 		Suspended: func() time.Duration { return 0 },
 		Self:      self, Settings: settings, Seeds: []string{hostName("a", 0), hostName("b", 0), hostName("c", 0)}, RelaysPerDomain: 3,
-		Store: m.store, Peers: &peers{c, name}, Listener: noopListener{}, Log: zerolog.Nop(),
+		Store: m.store, Peers: &peers{c, name}, Listener: m.servers, Log: zerolog.Nop(),
 	})
 	m.ctx, m.cancel = context.WithCancel(c.ctx)
 	c.mu.Lock()
