A state that is older than what is known brings no server back

What callers would see: requests to a server that has left, until the host reads the whole store again.

Cause: an entry was applied unless the same entry was known in a newer form. A removed entry is not known at all, so an older complete state of a peer, which was on its way while the removal arrived, or the events of a watch from an older revision, made it known again.

Change: a host that knows everything up to a revision ignores entries of that revision or before.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -218,20 +218,22 @@
 
 // applyChanges applies the changes since the known revision.
 func (s *state) applyChanges(batch Batch, now time.Time) {
-	s.revision = max(s.revision, batch.Revision)
 	if len(batch.Entries) == 0 {
+		s.revision = max(s.revision, batch.Revision)
 		return
 	}
 	s.applyEntries(batch, now)
+	s.revision = max(s.revision, batch.Revision)
 	s.logTally(now)
 	s.publish(now)
 }
 
-// applyEntries applies the entries that are newer than the known ones.
+// applyEntries applies the entries that are newer than the known state. An entry of the known state's
+// revision or before that is not part of it was replaced or removed since.
 func (s *state) applyEntries(batch Batch, now time.Time) {
 	for _, e := range batch.Entries {
 		key := entryKey{e.Kind, e.Name}
-		if known, ok := s.entries[key]; ok && known.Revision >= e.Revision {
+		if s.registry.Loaded() && e.Revision <= s.revision || s.entries[key].Revision >= e.Revision {
 			continue
 		}
 		if e.Removed {
