Some host reads the store soon after a leader lost it, and the leader passes on what it finds

What callers saw: the same as before, and requests handled by an old configuration, when the store turned away the highest-ranked hosts of all regions: nobody read the store for 8 s or more, though half of the hosts could.

Cause: after the first four hosts of a region, the others first asked the store after 8 to 24 s (24 hosts; more in larger regions). A host that found the store reachable left its leader, which did not hear of it: hosts ask the four highest-ranked of each region, all of which had lost the store.

Change: 16 hosts of a region, on average, ask the store once within 0.6 s of their leader's loss. A leader that lost the store asks a follower that leaves it, and its other followers hear from it what that one knows.

Before: TestServerLeavesWhileTheStoreTurnsHostsAway failed in two cases of 12 (72 of 72 hosts used a server after 3 s). Calls of the store in an outage of 6 s, whole fleet (TestCallsInAnOutageDoNotGrowWithTheHosts): 63 to 64 and 66 to 74 with 10 and 60 hosts a region (3 runs), now 74 to 81 and 90 to 113 (8 runs).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -77,6 +77,11 @@
 	preferred        atomic.Pointer[string]
 	preferredChanged chan struct{}
 
+	// departed is the address of the follower that left last while this host had lost the store;
+	// followerDeparted receives a value when one leaves.
+	departed         atomic.Pointer[string]
+	followerDeparted chan struct{}
+
 	// uninformedPeer is set when another host has answered that it knows no state either.
 	uninformedPeer atomic.Bool
 
@@ -95,6 +100,7 @@
 		rereads:          metrics.GetOrCreateCounter("mallowgap_store_rereads_total"),
 		cooldownUntil:    map[string]time.Time{},
 		preferredChanged: make(chan struct{}, 1),
+		followerDeparted: make(chan struct{}, 1),
 		leave:            make(chan struct{}),
 		resumed:          make(chan struct{}, 1), suspended: config.Suspended,
 	}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -27,6 +27,13 @@
 	// storeProbers is the number of hosts per region, besides the first, that probe the store at
 	// probeInterval while it is lost. All others probe it less often.
 	storeProbers = 3
+	// earlyProbers is the number of hosts per region, on average, that probe the store once within
+	// earlyProbeWindow after their leader has lost it, whatever their rank: the store may turn away the
+	// highest-ranked hosts and serve others, whose news the leader then passes on.
+	earlyProbers = 16
+	// earlyProbeWindow leaves time for the news of a server that leaves to reach all hosts before the
+	// server ends.
+	earlyProbeWindow = 600 * time.Millisecond
 	// leaderCooldown is the minimum time for which a host is not chosen as leader after it lost
 	// a store that other hosts reach or became stale; up to half as much is added at random.
 	// Following it again too early costs store calls, and the store may reject the host for
@@ -216,31 +223,36 @@
 }
 
 // nextProbeDelay returns the delay until this host's next probe of a store that its leader
-// has lost, and whether the first probe is immediate. The first hosts of the region probe at once
-// and then at probeInterval. The delays of the others grow with the number of hosts, so that
-// together they probe about as often as storeProbers hosts, whatever their number.
-func (c *Control) nextProbeDelay() (delay time.Duration, immediate bool) {
-	delay = probeInterval/2 + rand.N(probeInterval)
+// has lost; first is set before its first probe. The first hosts of the region probe at once and then
+// at probeInterval, and some others once early. The later delays of the others grow with the number of
+// hosts, so that together they probe about as often as storeProbers hosts, whatever their number.
+func (c *Control) nextProbeDelay(first bool) time.Duration {
 	hosts := c.View().inRegion(c.self.GetRegion())
 	rank := slices.IndexFunc(hosts, func(h Host) bool { return h.Name == c.name })
-	if 0 <= rank && rank <= storeProbers {
-		return delay, true
+	delay := probeInterval/2 + rand.N(probeInterval)
+	switch {
+	case 0 <= rank && rank <= storeProbers:
+		if first {
+			return 0
+		}
+		return delay
+	case first && rand.IntN(max(len(hosts), 1)) < earlyProbers:
+		return rand.N(earlyProbeWindow)
 	}
-	return delay * time.Duration(max(1, len(hosts)/storeProbers)), false
+	return delay * time.Duration(max(1, len(hosts)/storeProbers))
 }
 
 // probeStore probes the store if a probe is due. It returns errLeaderPartitioned if this host
 // reaches the store, which means that only the leader has lost it, and nil otherwise. next is the
 // time of the next probe, and zero before the first one.
 func (c *Control) probeStore(ctx context.Context, now time.Time, next *time.Time) error {
-	delay, immediate := c.nextProbeDelay()
-	if next.IsZero() && !immediate {
-		*next = now.Add(delay)
+	if next.IsZero() {
+		*next = now.Add(c.nextProbeDelay(true))
 	}
 	if now.Before(*next) {
 		return nil
 	}
-	*next = now.Add(delay)
+	*next = now.Add(c.nextProbeDelay(false))
 	err := c.watch(ctx, probeWatchWait, c.settings.GetWatchSlack().AsDuration())
 	if errors.Is(err, ErrCompacted) {
 		c.loaded = false // The store responds, but must be read from scratch.
@@ -259,6 +271,7 @@
 	known := request.GetRevision()
 	if h := request.GetHost(); h != nil {
 		defer c.announcer.addFollower(h, request.GetLeaving())()
+		defer c.noteDeparture(h.GetAddress(), request.GetLeaving())
 	}
 	for ctx.Err() == nil {
 		var u updates
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -11,17 +11,29 @@
 	"github.com/mallowgap/mallowgap/internal/pause"
 )
 
+// noteDeparture records that a follower has left. If this host has lost the store, the follower has
+// probably found it reachable, and is queried next.
+func (c *Control) noteDeparture(address string, leaving bool) {
+	if leaving || c.View().StoreLost.IsZero() {
+		return
+	}
+	c.departed.Store(&address)
+	notify(c.followerDeparted)
+}
+
 // pollPeers asks peers for their state while the store is unreachable, or until it has first
 // responded, so that a host still learns of changes and can start.
 func (c *Control) pollPeers(ctx context.Context) {
 	lastPoll, preferred := time.Time{}, ""
 	for ctx.Err() == nil {
-		pause.Sleep(ctx, peerCheckInterval)
+		departed := c.awaitPeerCheck(ctx)
 		v := c.View()
 		if v.StoreLost.IsZero() && v.Revision > 0 {
 			continue
 		}
-		if v.Revision > 0 && time.Since(lastPoll) < minPeerPollInterval {
+		if departed {
+			preferred = *c.departed.Load()
+		} else if v.Revision > 0 && time.Since(lastPoll) < minPeerPollInterval {
 			continue
 		}
 		lastPoll = time.Now()
@@ -29,6 +41,19 @@
 	}
 }
 
+// awaitPeerCheck waits for peerCheckInterval. It returns early, and reports so, if a follower departs.
+func (c *Control) awaitPeerCheck(ctx context.Context) (departed bool) {
+	timer := time.NewTimer(peerCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-c.followerDeparted:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // queryPeers queries peers until one has recently heard from the store, and returns its
 // address. It starts with preferred, the result of the last query.
 func (c *Control) queryPeers(ctx context.Context, preferred string) string {
