Hosts leave a leader that the store turns away

What callers saw: nothing by itself; the hosts of a region counted the store as lost for as long as it turned their leader away (9.6 s of 9 s, 14.2 s of 14 s), and asked hosts of other regions for their whole state every 0.7 s.

Cause: a host that lost the store asks peers until one reaches it, and goes on with that one. That was mostly a host of another region, which it cannot follow, so it never asked those that it can.

Change: beside it, a host that lost the store asks one of the highest-ranked of its own region.

TestHostsLeaveALeaderThatTheStoreTurnsAway failed before, 2 of 2 runs, and passes 3 of 3.

--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -102,6 +103,24 @@
 	}
 }
 
+// Guards against hosts that stay with a leader which the store turns away, although other hosts of their
+// region read it: their requests count as served without the store, and they call hosts of other regions.
+func TestHostsLeaveALeaderThatTheStoreTurnsAway(t *testing.T) {
+	for _, away := range []int{1, 2} {
+		withCluster(t, 24, func(c *cluster) {
+			time.Sleep(5 * time.Second)
+			for _, host := range highestRanked("a", away) {
+				c.hosts[host].store.TurnAway(true)
+			}
+			time.Sleep(2 * leaveBound)
+			for name, m := range c.hosts {
+				turnedAway := slices.Contains(highestRanked("a", away), name)
+				assert.Equal(t, !m.View().StoreLost.IsZero(), turnedAway, "%s", name)
+			}
+		})
+	}
+}
+
 // Guards against a host that starts to wait for servers to register again with every failed call of the
 // store, and never stops.
 func TestServerLeavesWhileALeaderLosesTheStoreRepeatedly(t *testing.T) {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -38,6 +38,7 @@
 		}
 		lastPoll = time.Now()
 		preferred = c.queryPeers(ctx, preferred)
+		c.queryOwnRegion(ctx)
 	}
 }
 
@@ -70,6 +71,16 @@
 	return ""
 }
 
+// queryOwnRegion queries one of the hosts that this host may follow, so that it finds a leader that
+// reaches the store also while hosts of other regions keep it informed.
+func (c *Control) queryOwnRegion(ctx context.Context) {
+	hosts := c.higherRanked()
+	hosts = slices.DeleteFunc(hosts[:min(len(hosts), storeProbers+1)], func(h Host) bool { return c.health.Suspected(h.Address) })
+	if len(hosts) > 0 && !c.View().StoreLost.IsZero() {
+		c.queryPeer(ctx, hosts[rand.IntN(len(hosts))].Address, c.View().Revision)
+	}
+}
+
 // probePeers probes suspected peers until ctx is done.
 func (c *Control) probePeers(ctx context.Context) {
 	for ctx.Err() == nil {
