A server that registers again after it drained, or at another address, is used again

What callers saw: nothing yet; found by a search for other ways in which a host is wrong about a server that leaves. A server that registered as ready again, or at another address after its former one belonged to another server, got no requests from any host that had known it, until the host restarted.

Cause: the mark that forbids new calls lies in what a host observed of a server, which its new registration inherited.

Change: such a registration counts as a new instance, as it does after an evacuation. TestServerThatRegistersAgainIsUsed failed before in both cases.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -230,10 +230,11 @@
 func processName(s discovery.Server) string { return fmt.Sprintf("%s#%d", s.ID, s.StartedAtMillis) }
 
 // isNewInstance reports whether earlier observations of a server no longer apply: its process was
-// replaced, it serves another service, or the evacuation of its failure domain has ended. The lock of
-// its group protects a leaf, so two groups must not share one.
+// replaced, it serves another service or has another address, it no longer drains, or the evacuation of
+// its failure domain has ended. The lock of its group protects a leaf, so two groups must not share one.
 func isNewInstance(s, before discovery.Server) bool {
-	return s.Replaces(before) || s.Service != before.Service || before.Evacuated && !s.Evacuated
+	return s.Replaces(before) || s.Service != before.Service || s.Address != before.Address ||
+		before.Draining && !s.Draining || before.Evacuated && !s.Evacuated
 }
 
 // newBackend returns the backend of a registered server, keeping the observations of old if that is
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -125,6 +125,37 @@
 	})
 }
 
+// Guards against a server that stays out of use on the hosts that knew it, because what they noted when it drained,
+// or when its address belonged to another server, is kept for its new registration.
+func TestServerThatRegistersAgainIsUsed(t *testing.T) {
+	for address, leave := range map[string]func(cl *cluster, s discovery.Server){
+		"single.a1": func(cl *cluster, s discovery.Server) {
+			s.Draining = true
+			cl.store.PutServer(s)
+		},
+		"10.0.0.99:80": func(cl *cluster, s discovery.Server) {
+			cl.backends.set(s.ID, func(context.Context, *Request) (*Reply, error) {
+				return nil, &NotRunError{Refused: true, Moved: true, Reason: "the address belongs to another server"}
+			})
+			cl.ask("host1", "/one/x")
+			cl.backends.set(s.ID, nil)
+		},
+	} {
+		t.Run(address, func(t *testing.T) {
+			withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
+				s := serversOf([]string{"single"}, "a1")[0]
+				leave(cl, s)
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, cl.ask("host1", "/one/x").Outcome, NotRun)
+				s.Address = address
+				cl.store.PutServer(s)
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, cl.ask("host1", "/one/x").Outcome, Forwarded)
+			})
+		})
+	}
+}
+
 func TestServersLapsedInAnOutageServeUntilTheStoreIsBack(t *testing.T) {
 	withCluster(t, shardedConfig(1, 1), serversOf([]string{"single"}, "a1"), oneHost, func(cl *cluster) {
 		cl.store.SetDown(true)
