A host that lost the store does not wait for silent peers one after the other

What callers would see: requests to servers that left, for up to 3 s longer, and an old configuration, where hosts are cut off from each other while the store turns some away.

Cause: peers were asked one by one, each for up to 0.5 s, six at most.

Change: the next peer is asked beside a silent one after 0.15 s; six answers without news end the poll, as before.

--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -51,14 +51,17 @@
 // uses it after leaveBound.
 func (c *cluster) leave(id string, announced bool) {
 	c.t.Helper()
+	c.send(id, announced)
+	time.Sleep(leaveBound)
+	users := c.users(id)
+	assert.Assert(c.t, len(users) == 0, "%s (announced: %v) is used by %d hosts, such as %v", id, announced, len(users), users[:min(len(users), 3)])
+}
+func (c *cluster) send(id string, announced bool) {
 	if announced {
 		c.store.PutServer(discovery.Server{ID: id, Service: "s", Address: "10.0.0.1:80", Domain: "a1", Slots: 1, Draining: true})
 	} else {
 		c.store.RemoveServer(id)
 	}
-	time.Sleep(leaveBound)
-	users := c.users(id)
-	assert.Assert(c.t, len(users) == 0, "%s (announced: %v) is used by %d hosts, such as %v", id, announced, len(users), users[:min(len(users), 3)])
 }
 
 // leaveInSeries makes all servers leave, every other one without an announcement.
@@ -103,6 +106,24 @@
 	}
 }
 
+// Guards against hosts that wait for one silent peer after the other, as in a network cut, before they hear
+// of a change from one that reaches the store.
+func TestServerLeavesWhilePeersAreSilent(t *testing.T) {
+	for range 5 {
+		withCluster(t, 24, func(c *cluster) {
+			putServers(c)
+			time.Sleep(5 * time.Second)
+			for _, host := range slices.Concat(highestRanked("a", 4)[1:], highestRanked("b", 4), highestRanked("c", 2)) {
+				c.hosts[host].silent.Store(true)
+			}
+			for i := range 24 {
+				c.hosts[hostName("a", i)].store.TurnAway(true)
+			}
+			c.leaveInSeries()
+		})
+	}
+}
+
 // Guards against hosts that stay with a leader which the store turns away, although other hosts of their
 // region read it: their requests count as served without the store, and they call hosts of other regions.
 func TestHostsLeaveALeaderThatTheStoreTurnsAway(t *testing.T) {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -56,16 +56,33 @@
 }
 
 // queryPeers queries peers until one has recently heard from the store, and returns its
-// address. It starts with preferred, the result of the last query.
+// address. It starts with preferred, the result of the last query, and does not wait long for a peer
+// that is silent, as many may be in a network cut.
 func (c *Control) queryPeers(ctx context.Context, preferred string) string {
 	addresses := c.peerCandidates(c.View())
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if preferred != "" {
 		addresses = append([]string{preferred}, addresses...)
 	}
-	for _, address := range addresses[:min(len(addresses), maxPeersQueried)] {
-		if c.queryPeer(ctx, address, c.View().Revision) {
-			return address
+	type answer struct {
+		address string
+		fresh   bool
+	}
+	answers := make(chan answer, len(addresses))
+	next, ended := 0, 0
+	for ended < min(len(addresses), maxPeersQueried) {
+		if next < len(addresses) {
+			address := addresses[next]
+			go func() { answers <- answer{address, c.queryPeer(ctx, address, c.View().Revision)} }()
+			next++
+		}
+		select {
+		case a := <-answers:
+			if a.fresh {
+				return a.address
+			}
+			ended++
+		case <-time.After(nextPeerDelay):
 		}
 	}
 	return ""
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -25,11 +25,14 @@
 	// minPeerPollInterval is the minimum time between two polls of peers while the store is
 	// unreachable.
 	minPeerPollInterval = 700 * time.Millisecond
-	// maxPeersQueried limits how many peers are queried in one poll. A poll ends earlier if a
+	// maxPeersQueried limits the queries of one poll that end without news. A poll ends earlier if a
 	// peer has recently heard from the store.
 	maxPeersQueried = 6
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 500 * time.Millisecond
+	// nextPeerDelay is how long a poll waits for a peer before it queries another one beside it: several
+	// round trips between regions.
+	nextPeerDelay = 150 * time.Millisecond
 	// yieldTime is how long Yield sleeps. A wait for the network has this resolution.
 	yieldTime = time.Millisecond
 	// probeCheckInterval is how often suspected peers are checked for due probes.
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,8 @@
 type testHost struct {
 	*control.Control
 	store *fakestore.Partitioned
+	// silent makes calls by other hosts wait until they time out.
+	silent atomic.Bool
 	// servers are those that the host sends requests to.
 	servers *serverSet
 	ctx     context.Context
@@ -191,6 +194,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return m.State(ctx, r)
 }
 
