Sight: how old the state is by which a request's server was chosen

The lines of requests and relayed calls had the revision that the host knew, not how long ago it or one that it hears from had heard the store. A host that knows an old state and one that knows a new one of the same revision looked alike.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -148,6 +148,16 @@
 // View returns the current published state.
 func (c *Control) View() *View { return c.state.view() }
 
+// StoreAge returns the time since the store was last heard, by this host or by one that it hears from,
+// and false if it never was.
+func (c *Control) StoreAge(now time.Time) (time.Duration, bool) {
+	last := c.state.lastHeard.Load()
+	if last == nil {
+		return 0, false
+	}
+	return now.Sub(*last), true
+}
+
 // Initialized returns a channel that is closed once the configuration and the servers are known.
 func (c *Control) Initialized() <-chan struct{} { return c.state.initialized }
 
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -203,7 +203,7 @@
 	}
 	batch := Batch{Revision: reply.GetRevision(), Entries: entries, Source: leader.Name}
 	c.state.do(ctx, func() {
-		c.state.registry.Contact.Heard(now.Add(-age), durationOf(reply.GetInServiceUs()))
+		c.state.heardStore(now.Add(-age), durationOf(reply.GetInServiceUs()))
 		c.state.setStoreStatus(!reply.GetStoreLost(), errLeaderStale, now)
 		if reply.GetComplete() {
 			c.state.applyBatch(batch, now)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -167,7 +167,7 @@
 	}
 	heard := func(now time.Time) {
 		if age > 0 {
-			c.state.registry.Contact.Heard(now.Add(-age), durationOf(reply.GetInServiceUs()))
+			c.state.heardStore(now.Add(-age), durationOf(reply.GetInServiceUs()))
 		}
 	}
 	if reply.GetRevision() <= known {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -43,6 +43,8 @@
 	detailLog zerolog.Logger
 	// invalidLog is the rate-limited log for entries that cannot be decoded.
 	invalidLog zerolog.Logger
+	// lastHeard is when the store was last heard; nil if never.
+	lastHeard atomic.Pointer[time.Time]
 	// self is the store entry of this host.
 	self    Host
 	tally   tally
@@ -416,6 +418,18 @@
 	s.tally.peers++
 }
 
+// heardStore records that the store responded at a time, to this host or another one, and had been in
+// service for inService before it.
+func (s *state) heardStore(at time.Time, inService time.Duration) {
+	s.registry.Contact.Heard(at, inService)
+	s.publishLastHeard()
+}
+
+func (s *state) publishLastHeard() {
+	last := s.registry.Contact.Last()
+	s.lastHeard.Store(&last)
+}
+
 // setStoreStatus records whether the store responds to this host, or to the one that it follows.
 func (s *state) setStoreStatus(reachable bool, cause error, now time.Time) {
 	if reachable {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -138,7 +138,7 @@
 	}
 	now := time.Now()
 	c.state.do(ctx, func() {
-		c.state.registry.Contact.Heard(now, now.Sub(started))
+		c.state.heardStore(now, now.Sub(started))
 		c.state.setStoreStatus(true, nil, now)
 		c.state.applyChanges(changes, now)
 	})
@@ -154,7 +154,7 @@
 	}
 	now := time.Now()
 	c.state.do(ctx, func() {
-		c.state.registry.Contact.Heard(now, 0)
+		c.state.heardStore(now, 0)
 		c.state.setStoreStatus(true, nil, now)
 		c.state.applyBatch(batch, now)
 	})
--- a/internal/control/wake.go
+++ b/internal/control/wake.go
@@ -79,6 +79,7 @@
 		}
 	}
 	s.registry.AddSuspension(suspendedFor)
+	s.publishLastHeard()
 	s.unconfirmedSince = now
 	s.listener.Resumed(suspendedFor)
 	s.publish(now)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -132,7 +132,15 @@
 	if len(notes) > 0 || len(results) < len(m.GetServerIds()) {
 		log = &g.requestLog.bad
 	}
-	log.Info().Bytes("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Uint64("revision", g.control.View().Revision).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
+	g.describeState(log.Info().Bytes("request", m.GetRequestId()).Int("calls", len(m.GetServerIds())).Int("ended", len(results)).Uint64("revision", g.control.View().Revision)).Strs("notes", notes).Dur("elapsed", elapsed).Msg("relayed calls")
+}
+
+// describeState adds how long ago the store was heard, from which this host knows the servers.
+func (g *Gateway) describeState(e *zerolog.Event) *zerolog.Event {
+	if age, heard := g.control.StoreAge(time.Now()); heard {
+		return e.Dur("store_age", age)
+	}
+	return e
 }
 
 func (g *Gateway) logRequest(s *requestState, a Answer, elapsed time.Duration) {
@@ -153,7 +161,7 @@
 	if v.Table != nil {
 		e = e.Uint64("version", a.Version).Dur("version_age", time.Since(v.TableSince))
 	}
-	e = e.Uint64("revision", v.Revision)
+	e = g.describeState(e.Uint64("revision", v.Revision))
 	if !v.StoreLost.IsZero() {
 		e = e.Dur("store_lost", time.Since(v.StoreLost))
 	}
