Mutants of the new guards; a host reports for how long the store has been in service

TestPeerReportsForHowLongTheStoreIsInService: a host that was cut off for 10 s hears of a removal from a peer that was not.

--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -1,13 +1,17 @@
 package control
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/api/settingspb"
 )
 
 // testHeartbeat is the interval at which the servers of the tests renew their registrations.
@@ -36,3 +40,46 @@
 		assert.Assert(t, stays && isNew, "%s", name)
 	}
 }
+
+// statePeer answers polls for the state with that of one host.
+type statePeer struct {
+	PeerClient
+	host *Control
+}
+
+// State implements PeerClient.
+func (p statePeer) State(ctx context.Context, _ string, r *relaypb.StateRequest) (*relaypb.StateReply, error) {
+	return p.host.State(ctx, r)
+}
+
+// Guards against a host that was cut off for long, hears of a removal from a peer that was not, and goes on
+// using the server, because the peer does not say for how long the store has been in service.
+func TestPeerReportsForHowLongTheStoreIsInService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		settings := &settingspb.GatewayStoreSection{ServerHeartbeat: durationpb.New(testHeartbeat), Lease: durationpb.New(time.Minute)}
+		informed := New(Config{Self: &relaypb.Host{Name: "informed"}, Settings: settings, Listener: noopListener{}})
+		cutOff := New(Config{Self: &relaypb.Host{Name: "cut off"}, Settings: settings, Listener: noopListener{}, Peers: statePeer{host: informed}})
+		for _, c := range []*Control{informed, cutOff} {
+			c.state.decoder = jsonDecoder{}
+			go c.state.run(ctx)
+			c.state.do(ctx, func() {
+				c.state.heardStore(time.Now(), time.Second)
+				c.state.applyBatch(Batch{Revision: 3, Entries: []Entry{serverEntryAt("leaves", 1), serverEntryAt("stays", 2)}}, time.Now())
+			})
+		}
+		time.Sleep(10 * time.Second)
+		informed.state.do(ctx, func() {
+			informed.state.heardStore(time.Now(), 10*time.Second)
+			informed.state.applyChanges(Batch{Revision: 4, Entries: []Entry{{Kind: relaypb.EntryKind_SERVER, Name: "leaves", Revision: 4, Removed: true}}}, time.Now())
+		})
+		time.Sleep(time.Millisecond)
+		cutOff.queryPeer(ctx, "informed", cutOff.View().Revision)
+		cutOff.state.do(ctx, func() {
+			_, used := cutOff.state.registry.Server("leaves")
+			assert.Assert(t, !used)
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -48,7 +48,17 @@
 TestAnswersAreTrue@fanout/block.go@s/return q.replaceOverlapping\(b\)/return q.add(b)/@an answer contains a shard twice
 TestFloorWithoutRecordsIsIgnored@fanout/block.go@s/if top <= 0 \{/if top < 0 {/@a reply with a floor to a request without records panics
 TestFloorLeavesOutWhatCannotCount@fanout/block.go@s/blocks := dropInvalidFloors\(q.settings.Top, (.*)\)\n/blocks := $1\n/@a block with an invalid floor is counted
-TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if r.storeDown \|\| now.Before\(r.graceUntil\) \{\n\t\te.lapsed/if false {\n\t\te.lapsed/@entries that expire during an outage are removed at once
+TestServersLapsedInAnOutageServeUntilTheStoreIsBack@discovery/registry.go@s/if !r.Contact.Settled\(ReregistrationGrace, now\) \{\n\t\te.lapsed/if false {\n\t\te.lapsed/@entries that expire during an outage are removed at once
+TestEvidenceThatAServerIsGone@discovery/contact.go@s/case c.since.Sub\(at\) > c.maxGap:\n\t\treturn/case false:\n\t\treturn/@a report of the time before an outage counts after it
+TestEvidenceThatAServerIsGone@discovery/contact.go@s/c.since, c.interrupted = start, true/c.since = start/@an outage leaves no trace
+TestEvidenceThatAServerIsGone@discovery/contact.go@s/return c.Current\(now\) && /return /@a store that nobody hears counts as in service
+TestSuspensionIsNoOutage@discovery/contact.go@s/> c.maxGap\+c.suspended:/> c.maxGap:/@a suspension of the machine counts as an outage
+TestPeerReportsForHowLongTheStoreIsInService@internal/control/state.go@s/inService: s.registry.Contact.Length\(\), //@hosts do not report for how long the store has been in service
+TestServerLeavesWhileTheStoreTurnsHostsAway@internal/control/follow.go@s/rand.IntN\(max\(len\(hosts\), 1\)\) < earlyProbers/false/@only the highest-ranked hosts ask the store early
+TestServerLeavesWhilePeersAreSilent@internal/control/peers.go@s/case <-time.After\(nextPeerDelay\):/case <-ctx.Done():/@silent peers are awaited one after the other
+TestHostsLeaveALeaderThatTheStoreTurnsAway@internal/control/peers.go@s/\t\tc.queryOwnRegion\(ctx\)\n//@hosts stay with a leader that the store turns away
+TestOlderStateBringsNoServerBack@internal/control/state.go@s/s.registry.Loaded\(\) && e.Revision <= s.revision \|\| //@an older state brings a server back
+TestServerThatRegistersAgainIsUsed@internal/gateway/fleet.go@s/before.Draining && !s.Draining \|\| //@a server that drained is never used again
 TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.firstCounted\[need.Shard\] \{/if kind == firstAttempt {/@attempts that reach no server earn retry budget
 TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.mayHaveRun && !q.running\(\) &&/if/@a request that may have run is reported as not run
 TestDrainingServerGetsNothingNew@internal/gateway/fleet.go@s/if s.Draining \|\| s.Evacuated \{/if s.Evacuated {/@a draining server gets new requests
--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -43,3 +43,4 @@
 guard "quotas" internal/gateway/quota.go 's/if ruling.Action == quota.Refuse \{/if ruling.Action == quota.Refuse \&\& false {/' 30002
 guard "own fraction" quota/meter.go 's/limit, m.hosts, m.rank, m.aloneSince/limit, 1, 0, m.aloneSince/' 30002
 guard "list of metered teams" quota/ledger.go 's/case metered \&\& a.level >= a.above:/case l.bound.alwaysMetered(a.limit) || metered \&\& a.level >= a.above:/' 30002
+guard "evidence of an outage" discovery/contact.go 's/return c.Current\(now\) .*/return c.Current(now) \&\& c.Length() < grace/' 50000
