A complete state that is not older has the last word; hosts ask all that they may follow

A complete state of the known revision or a later one is applied whole again, so that a watch which left out a change could not hide it for good.

TestHostsLeaveALeaderThatTheStoreTurnsAway failed once in about ten runs: a host asked one host of its region at random in each poll, mostly one that had lost the store too.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -129,6 +129,7 @@
 	go c.state.run(ctx)
 	c.spawn(func() { c.followStore(ctx) })
 	c.spawn(func() { c.pollPeers(ctx) })
+	c.spawn(func() { c.seekLeader(ctx) })
 	c.spawn(func() { c.probePeers(ctx) })
 	c.spawn(func() { c.announcer.run(announceCtx) })
 	c.spawn(func() { c.records.run(ctx) })
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -37,8 +37,7 @@
 			continue
 		}
 		lastPoll = time.Now()
-		preferred = c.queryPeers(ctx, preferred)
-		c.queryOwnRegion(ctx)
+		preferred = c.queryUntilFresh(ctx, c.shuffledCandidates(preferred))
 	}
 }
 
@@ -55,15 +54,19 @@
 	return false
 }
 
-// queryPeers queries peers until one has recently heard from the store, and returns its
-// address. It starts with preferred, the result of the last query, and does not wait long for a peer
-// that is silent, as many may be in a network cut.
-func (c *Control) queryPeers(ctx context.Context, preferred string) string {
+// shuffledCandidates returns the peers to query in random order, but first the preferred one, if any.
+func (c *Control) shuffledCandidates(preferred string) []string {
 	addresses := c.peerCandidates(c.View())
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if preferred != "" {
 		addresses = append([]string{preferred}, addresses...)
 	}
+	return addresses
+}
+
+// queryUntilFresh queries peers until one has recently heard from the store, and returns its address. It
+// does not wait long for a peer that is silent, as many may be in a network cut.
+func (c *Control) queryUntilFresh(ctx context.Context, addresses []string) string {
 	type answer struct {
 		address string
 		fresh   bool
@@ -88,13 +91,21 @@
 	return ""
 }
 
-// queryOwnRegion queries one of the hosts that this host may follow, so that it finds a leader that
-// reaches the store also while hosts of other regions keep it informed.
-func (c *Control) queryOwnRegion(ctx context.Context) {
-	hosts := c.higherRanked()
-	hosts = slices.DeleteFunc(hosts[:min(len(hosts), storeProbers+1)], func(h Host) bool { return c.health.Suspected(h.Address) })
-	if len(hosts) > 0 && !c.View().StoreLost.IsZero() {
-		c.queryPeer(ctx, hosts[rand.IntN(len(hosts))].Address, c.View().Revision)
+// seekLeader queries the hosts that this host may follow while the store is unreachable, so that it finds a
+// leader that reaches it also while hosts of other regions keep it informed.
+func (c *Control) seekLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.Sleep(ctx, minPeerPollInterval)
+		if c.View().StoreLost.IsZero() {
+			continue
+		}
+		var addresses []string
+		for _, h := range c.higherRanked() {
+			if len(addresses) <= storeProbers && !c.health.Suspected(h.Address) {
+				addresses = append(addresses, h.Address)
+			}
+		}
+		c.queryUntilFresh(ctx, addresses)
 	}
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -194,8 +194,13 @@
 // logTally writes the summary of applied entries if it is due.
 func (s *state) logTally(now time.Time) { s.tally.flush(s.log, s.revision, !s.storeLost.IsZero(), now) }
 
-// applyBatch applies a complete read of the store.
+// applyBatch applies a complete read of the store, by this host or another one. Of one that is older than
+// the known state, only entries that are newer than this are news.
 func (s *state) applyBatch(batch Batch, now time.Time) {
+	var known uint64
+	if batch.Revision < s.revision {
+		known = s.revision
+	}
 	present := make(map[entryKey]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
 		present[entryKey{e.Kind, e.Name}] = true
@@ -207,7 +212,7 @@
 		}
 	}
 	batch.Entries = append(removed, batch.Entries...)
-	s.applyEntries(batch, now)
+	s.applyEntries(batch, known, now)
 	if !s.registry.Loaded() {
 		s.compactedRevision = batch.Revision
 	}
@@ -224,18 +229,18 @@
 		s.revision = max(s.revision, batch.Revision)
 		return
 	}
-	s.applyEntries(batch, now)
+	s.applyEntries(batch, s.revision, now)
 	s.revision = max(s.revision, batch.Revision)
 	s.logTally(now)
 	s.publish(now)
 }
 
-// applyEntries applies the entries that are newer than the known state. An entry of the known state's
-// revision or before that is not part of it was replaced or removed since.
-func (s *state) applyEntries(batch Batch, now time.Time) {
+// applyEntries applies the entries that are newer than the known ones. Up to the revision known, the state
+// is complete: an entry that is not part of it was replaced or removed since.
+func (s *state) applyEntries(batch Batch, known uint64, now time.Time) {
 	for _, e := range batch.Entries {
 		key := entryKey{e.Kind, e.Name}
-		if s.registry.Loaded() && e.Revision <= s.revision || s.entries[key].Revision >= e.Revision {
+		if e.Revision <= max(known, s.entries[key].Revision) {
 			continue
 		}
 		if e.Removed {
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -31,6 +31,10 @@
 	s.applyBatch(older, now)
 	removal := Entry{Kind: relaypb.EntryKind_SERVER, Name: "leaves", Revision: 4, Removed: true}
 	s.applyChanges(Batch{Revision: 5, Entries: []Entry{removal, serverEntryAt("new", 5)}}, now)
+	late := Batch{Revision: 5, Entries: []Entry{serverEntryAt("stays", 2), serverEntryAt("late", 4), serverEntryAt("new", 5)}}
+	s.applyBatch(late, now)
+	_, isLate := s.registry.Server("late")
+	assert.Assert(t, isLate, "a complete state that is not older has the last word")
 	for name, apply := range map[string]func(Batch, time.Time){"complete": s.applyBatch, "changes": s.applyChanges} {
 		apply(older, now)
 		_, back := s.registry.Server("leaves")
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,8 +56,8 @@
 TestPeerReportsForHowLongTheStoreIsInService@internal/control/state.go@s/inService: s.registry.Contact.Length\(\), //@hosts do not report for how long the store has been in service
 TestServerLeavesWhileTheStoreTurnsHostsAway@internal/control/follow.go@s/rand.IntN\(max\(len\(hosts\), 1\)\) < earlyProbers/false/@only the highest-ranked hosts ask the store early
 TestServerLeavesWhilePeersAreSilent@internal/control/peers.go@s/case <-time.After\(nextPeerDelay\):/case <-ctx.Done():/@silent peers are awaited one after the other
-TestHostsLeaveALeaderThatTheStoreTurnsAway@internal/control/peers.go@s/\t\tc.queryOwnRegion\(ctx\)\n//@hosts stay with a leader that the store turns away
-TestOlderStateBringsNoServerBack@internal/control/state.go@s/s.registry.Loaded\(\) && e.Revision <= s.revision \|\| //@an older state brings a server back
+TestHostsLeaveALeaderThatTheStoreTurnsAway@internal/control/peers.go@s/\t\tc.queryUntilFresh\(ctx, addresses\)\n/\t\t_ = addresses\n/@hosts stay with a leader that the store turns away
+TestOlderStateBringsNoServerBack@internal/control/state.go@s/e.Revision <= max\(known, s.entries\[key\].Revision\)/e.Revision <= s.entries[key].Revision/@an older state brings a server back
 TestServerThatRegistersAgainIsUsed@internal/gateway/fleet.go@s/before.Draining && !s.Draining \|\| //@a server that drained is never used again
 TestUnreachableServersEarnNoBudget@internal/gateway/attempt.go@s/if !q.firstCounted\[need.Shard\] \{/if kind == firstAttempt {/@attempts that reach no server earn retry budget
 TestNotRepeatableRequestIsSentOnce@internal/gateway/query.go@s/if !q.mayHaveRun && !q.running\(\) &&/if/@a request that may have run is reported as not run
