--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -22,15 +23,6 @@
 
 func serverID(i int) string { return fmt.Sprint("server", i) }
 
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
 func putServers(c *cluster) {
 	for i := range leavingServers {
 		c.store.PutServer(discovery.Server{ID: serverID(i), Service: "s", Address: "10.0.0.1:80", Domain: "a1", Slots: 1})
@@ -51,17 +43,14 @@
 // uses it after leaveBound.
 func (c *cluster) leave(id string, announced bool) {
 	c.t.Helper()
-	c.send(id, announced)
-	time.Sleep(leaveBound)
-	users := c.users(id)
-	assert.Assert(c.t, len(users) == 0, "%s (announced: %v) is used by %d hosts, such as %v", id, announced, len(users), users[:min(len(users), 3)])
-}
-func (c *cluster) send(id string, announced bool) {
 	if announced {
 		c.store.PutServer(discovery.Server{ID: id, Service: "s", Address: "10.0.0.1:80", Domain: "a1", Slots: 1, Draining: true})
 	} else {
 		c.store.RemoveServer(id)
 	}
+	time.Sleep(leaveBound)
+	users := c.users(id)
+	assert.Assert(c.t, len(users) == 0, "%s (announced: %v) is used by %d hosts, such as %v", id, announced, len(users), users[:min(len(users), 3)])
 }
 
 // leaveInSeries makes all servers leave, every other one without an announcement.
@@ -149,10 +138,10 @@
 		putServers(c)
 		time.Sleep(5 * time.Second)
 		flapping := c.hosts["a000"].store
-		stop := make(chan struct{})
+		ctx, stop := context.WithCancel(c.ctx)
 		var flaps sync.WaitGroup
 		flaps.Go(func() {
-			for !isClosed(stop) {
+			for ctx.Err() == nil {
 				flapping.TurnAway(false)
 				time.Sleep(300 * time.Millisecond)
 				flapping.Admit()
@@ -160,7 +149,7 @@
 			}
 		})
 		defer flaps.Wait()
-		defer close(stop)
+		defer stop()
 		c.leaveInSeries()
 	})
 }
