--- a/review/standin/repeat_test.go
+++ b/review/standin/repeat_test.go
@@ -93,7 +93,7 @@
 
 // judgeOnce checks that no request ran twice, and that none ran that was refused.
 func (s *scene) judgeOnce(results []Result) error {
-	served, refused, failed, twice, ranThough, rejected := 0, 0, 0, 0, 0, 0
+	served, refused, failed, twice, ranThough := 0, 0, 0, 0, 0
 	for _, r := range results {
 		runs := s.record.runsOf(r.id)
 		switch {
@@ -117,8 +117,8 @@
 	for _, l := range s.leafs {
 		extras, answers = extras+l.extras, answers+l.answers
 	}
-	summary := fmt.Sprintf("%d requests: %d served, %d refused, %d failed; %d answers of leafs, %d sent once more, %d rejected; ran more than once: %d; refused though they ran: %d",
-		len(results), served, refused, failed, answers, extras, rejected, twice, ranThough)
+	summary := fmt.Sprintf("%d requests: %d served, %d refused, %d failed; %d answers of leafs, %d of them sent once more; ran more than once: %d; refused though they ran: %d",
+		len(results), served, refused, failed, answers, extras, twice, ranThough)
 	s.record.notef("%s", summary)
 	fmt.Println(summary)
 	if served == 0 {
