--- a/review/standin/foreign_test.go
+++ b/review/standin/foreign_test.go
@@ -14,12 +14,15 @@
 const (
 	// foreignShards is the number of shards of the query; each has two leafs.
 	foreignShards = 4
-	// foreignRuns is how long clients send, and foreignAt when another writer writes its entry.
+	// foreignRuns is how long clients send.
 	foreignRuns = 16 * time.Second
-	foreignAt   = 6 * time.Second
 	foreignTop  = 10
 )
 
+// foreignAt lists when another writer writes its entries. The times fall differently between two beats of
+// the leafs, which then write their own entries again.
+var foreignAt = []time.Duration{6 * time.Second, 7700 * time.Millisecond, 9400 * time.Millisecond}
+
 // runForeign sends queries over several shards and requests for a single service. Another writer writes an
 // entry in which fields are missing under the identifier of a leaf, and names another service in it.
 func runForeign(s *scene) error {
@@ -51,11 +54,13 @@
 		return err
 	}
 	began := time.Now()
-	if s.trouble {
-		time.AfterFunc(foreignAt, func() {
-			s.writeForeign(s.leafOf("i-shard1-0"), "shard0")
-			s.writeForeign(s.leafOf("i-ledger-0"), "portal")
-		})
+	for _, at := range foreignAt {
+		if s.trouble {
+			time.AfterFunc(at, func() {
+				s.writeForeign(s.leafOf("i-shard1-0"), "shard0")
+				s.writeForeign(s.leafOf("i-ledger-0"), "portal")
+			})
+		}
 	}
 	var mu sync.Mutex
 	paths := map[string]string{}
@@ -102,7 +107,7 @@
 // writeForeign writes an entry without version, cold_left_ms, sequence and born under the identifier of a
 // leaf, with another service. The leaf writes its own entry again at its next beat.
 func (s *scene) writeForeign(l *Leaf, service string) {
-	encoded, _ := json.Marshal(map[string]any{"service": service, "addr": l.listener.Addr().String(), "zone": l.zone, "concurrency": l.slots, "state": "ready"})
+	encoded, _ := json.Marshal(map[string]any{"service": service, "addr": l.address, "zone": l.zone, "concurrency": l.slots, "state": "ready"})
 	s.store.put("servers/"+l.id, encoded)
 	s.record.notef("store: another writer writes servers/%s: %s", l.id, encoded)
 }
--- a/review/standin/leaf_test.go
+++ b/review/standin/leaf_test.go
@@ -32,6 +32,8 @@
 	store             *Store
 	listener          net.Listener
 	born              int64
+	// clock is by how much the time of day of the leaf's machine is off.
+	clock time.Duration
 
 	// spoils decides whether a faulty leaf repeats an answer. It is nil for a sound leaf.
 	spoils func(now time.Time) bool
@@ -41,34 +43,87 @@
 	running         chan struct{}
 	sequence        int
 	draining        bool
-	lastWritten     []byte
 	extras, answers int
+	reached         []time.Time
+	conns           map[net.Conn]bool
+	// address is that of the first start; stop ends the beats of the process.
+	address string
+	stop    chan struct{}
 }
 
+// start starts a process of the leaf, which writes its entry. A further start is a new process under the
+// same identifier and address.
 func (l *Leaf) start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if l.address == "" {
+		l.address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", l.address)
 	if err != nil {
 		return err
 	}
-	l.listener, l.running, l.born = listener, make(chan struct{}, l.slots), time.Now().UnixMilli()
+	stop := make(chan struct{})
+	l.mu.Lock()
+	l.listener, l.address, l.running, l.stop = listener, listener.Addr().String(), make(chan struct{}, l.slots), stop
+	l.held, l.conns, l.born = 0, map[net.Conn]bool{}, time.Now().Add(l.clock).UnixMilli()
+	l.mu.Unlock()
+	l.record.notef("leaf %s (%s): starts, born %d", l.id, l.service, l.born)
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			l.mu.Lock()
+			l.conns[c] = true
+			l.mu.Unlock()
 			go l.serve(c)
 		}
 	}()
 	l.beatOnce()
 	go func() {
-		for range time.Tick(beat) {
-			l.beatOnce()
+		ticker := time.NewTicker(beat)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				l.beatOnce()
+			case <-stop:
+				return
+			}
 		}
 	}()
 	return nil
 }
 
+// crash ends the process of the leaf and its connections.
+func (l *Leaf) crash() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.stop)
+	_ = l.listener.Close()
+	for c := range l.conns {
+		_ = c.Close()
+	}
+	l.record.notef("leaf %s (%s): ends", l.id, l.service)
+}
+
+// drain reports that the leaf drains, and returns when the store acknowledged it.
+func (l *Leaf) drain() time.Time {
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	l.beatOnce()
+	l.record.notef("store: acknowledged that leaf %s drains", l.id)
+	return time.Now()
+}
+
+// arrivals returns when requests for the leaf reached it.
+func (l *Leaf) arrivals() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]time.Time(nil), l.reached...)
+}
+
 // beatOnce writes the entry of the leaf, if the store holds another one.
 func (l *Leaf) beatOnce() {
 	l.mu.Lock()
@@ -78,7 +133,7 @@
 		state = "draining"
 	}
 	encoded, _ := json.Marshal(map[string]any{
-		"service": l.service, "addr": l.listener.Addr().String(), "zone": l.zone, "version": "v1", "concurrency": l.slots,
+		"service": l.service, "addr": l.address, "zone": l.zone, "version": "v1", "concurrency": l.slots,
 		"state": state, "cold_left_ms": 0, "sequence": 1, "born": l.born,
 	})
 	if bytes.Equal(l.store.get("servers/"+l.id), encoded) {
@@ -131,6 +186,8 @@
 		return []byte("HTTP/1.1 421 Misdirected Request\r\nX-Mallowgap-Instance-Id: " + l.id + "\r\nX-Mallowgap-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
 	}
 	l.mu.Lock()
+	l.reached = append(l.reached, time.Now())
+	running := l.running
 	full := l.held >= l.slots+l.queue
 	if !full {
 		l.held++
@@ -140,11 +197,11 @@
 		l.record.leaf(l, r, id, "rejects with 503, not executed")
 		return []byte("HTTP/1.1 503 Service Unavailable\r\nX-Mallowgap-Not-Executed: 1\r\nX-Mallowgap-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
 	}
-	l.running <- struct{}{}
+	running <- struct{}{}
 	l.record.leaf(l, r, id, "runs")
 	l.record.ran(l, r, id)
 	time.Sleep(l.work)
-	<-l.running
+	<-running
 	l.mu.Lock()
 	l.held--
 	l.mu.Unlock()
--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -40,7 +40,7 @@
 }
 
 func runCase(args []string) int {
-	cases := map[string]func(*scene) error{"repeat": runRepeat, "foreign": runForeign, "signals": runSignals}
+	cases := map[string]func(*scene) error{"repeat": runRepeat, "foreign": runForeign, "clock": runClock}
 	if len(args) != 5 || cases[args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: CASE ROOT DIR RECORD")
 		return couldNot
