A connection never carries the same request twice

Cause: the identifier in a response names an attempt of the caller. A host that sent a request again to a server that had rejected it mostly used the connection of the rejection. If the server repeated its rejection there, the copy was taken for the answer to the later sending, which the server ran.

Change: a connection remembers the requests to which it brought an answer that is no success, until their time ends, and is passed over when one of them is sent again. If no other is idle, it is replaced, since servers limit their connections. The memory is bounded; a connection that would need more is closed. It works since no copy can arrive on a connection other than that of its original.

--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -67,8 +68,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this request. If nil, every response
-	// does.
+	// ID identifies the request in its responses. A request that is sent again has the ID that it
+	// had.
+	ID string
+	// Matches reports whether a response belongs to the request with this ID. If nil, every
+	// response does.
 	Matches func(*http.Response) bool
 	// MaxIdle bounds how long a reused connection may have been idle. 0 means no bound.
 	MaxIdle time.Duration
@@ -112,6 +116,8 @@
 	reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// resendable holds the requests that the connection carried and that may be sent again.
+	resendable requestSet
 }
 
 // Do sends a request and returns its response. After an error other than a
@@ -124,7 +130,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, reusable, err := c.exchange(r, p.settings.MaxBody)
-	if !stop() || err != nil || !reusable {
+	if !stop() || err != nil || !reusable || !c.noteCarried(ctx, r, response) {
 		_ = c.Close()
 	} else {
 		p.put(r.Address, c, response.Header)
@@ -144,14 +150,36 @@
 	return errors.As(err, &e)
 }
 
+// noteCarried records that a connection carried a request and reports whether the connection can
+// still be reused. After a success the request is not sent again, or the same success is its answer.
+func (c *conn) noteCarried(ctx context.Context, r *Request, response *Response) bool {
+	if response.Status/100 == 2 {
+		return true
+	}
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		return false
+	}
+	return c.resendable.add(r.ID, end, time.Now())
+}
+
 // connect returns an idle connection that is usable for the request, or a new one. Idle
 // connections that are too old, closed by the server or have unread data are discarded.
+//
+// A connection that carried the request before is passed over: if the server repeats the response
+// to the former sending, the ID does not distinguish the copy from the response to this one. If there
+// is no other, it is replaced by a new one, since servers limit their connections.
 func (p *Pool) connect(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c := p.take(r.Address)
+		c, carried := p.take(r)
 		if c == nil {
 			break
 		}
+		if carried {
+			connsReplaced.Inc()
+			_ = c.Close()
+			break
+		}
 		idle := time.Since(c.idleSince)
 		if idle < c.idleTimeout && (r.MaxIdle == 0 || idle < r.MaxIdle) && isOpenAndEmpty(c.Conn) {
 			return c, nil
@@ -179,20 +207,28 @@
 	return err
 }
 
-func (p *Pool) take(address string) *conn {
+// take removes the most recently used idle connection that did not carry the request, or, if all
+// did, the most recently used one. It returns nil if there is none.
+func (p *Pool) take(r *Request) (c *conn, carried bool) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[address]
+	conns := p.idle[r.Address]
 	if len(conns) == 0 {
-		return nil
+		return nil, false
+	}
+	i := len(conns) - 1
+	for i >= 0 && conns[i].resendable.has(r.ID, now) {
+		i--
+	}
+	if i < 0 {
+		i, carried = len(conns)-1, true
 	}
-	last := len(conns) - 1
-	c := conns[last]
-	conns[last] = nil
-	if p.idle[address] = conns[:last]; last == 0 {
-		delete(p.idle, address)
+	c = conns[i]
+	if p.idle[r.Address] = slices.Delete(conns, i, i+1); len(conns) == 1 {
+		delete(p.idle, r.Address)
 	}
-	return c
+	return c, carried
 }
 
 func (p *Pool) put(address string, c *conn, header http.Header) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,6 +70,8 @@
 TestOneSilentServerOfARelayCostsOneHedge@internal/gateway/query.go@s/maxSoftTimeoutShare = 0.2/maxSoftTimeoutShare = 0.9/@a relay delays its first reply
 TestRequestThatReachesNobodyIsRefusedSoon@internal/gateway/query.go@s/return q.reachedServer \|\| q.running\(\)/return true/@a call that reached no server counts as an offer
 TestRefusingReplicaIsChosenLess@replica/set.go@s/lossPenalty = 6/lossPenalty = 0/@refusals do not affect replica selection
+TestRepeatedRejectionIsNoAnswerToALaterSending@internal/httppool/pool.go@s/conns\[i\].resendable.has\(r.ID, now\)/false/@a connection carries the same request twice
+TestLaterSendingUsesAnotherIdleConnection@internal/httppool/pool.go@s/for i >= 0 && /if /@a connection that did not carry the request is not looked for
 TestLateExtraAnswerBelongsToNobody@internal/httppool/pool.go@s/!r.Matches\(head\)/false/@a late answer to another request is accepted
 TestBrokenAnswersAreErrors@internal/httppool/pool.go@s/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/@a truncated answer is accepted
 TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go@s/ && c.reader.Buffered\(\) == 0//; s/ && isOpenAndEmpty\(c.Conn\)//@a connection with unexpected bytes is reused
