An answer that names no request counts only as the first on its connection

What callers could see: a request that may run once at most runs twice or is answered 503 or 421 although it ran, or a caller gets the failure of another caller's request, where a server leaves the identifier out of an answer and repeats it.

Cause: isResponseTo accepted an answer without identifier and signature on every connection.

Evidence: before the change TestUnidentifiedResponseProvesNothingOnAUsedConnection failed in its 5 forms (503, 429 and 421 were "not run" though the server ran the request; 500 and 404 were forwarded), and so did TestUnidentifiedResponseAfterAForeignOneProvesNothing.

Change: such an answer is accepted only on a connection that carried nothing else, where it can belong to no other request. Elsewhere the call fails as "may have run" and the connection is closed. Calls that fail by bytes that are no answer are counted by reason and logged with server and request; skipped answers to other requests are counted.

--- a/internal/gateway/edges.go
+++ b/internal/gateway/edges.go
@@ -92,10 +92,25 @@
 // Unwrap returns the cause, if any.
 func (e *NotRunError) Unwrap() error { return e.Err }
 
+// InvalidReplyError reports that a server sent bytes that are no answer to the request. The server may
+// have run the request.
+type InvalidReplyError struct {
+	// Reason is a short name of what is wrong, for metrics and logs.
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *InvalidReplyError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *InvalidReplyError) Unwrap() error { return e.Err }
+
 // BackendClient calls backend servers.
 type BackendClient interface {
 	// Call sends a request to a server. The error is a *NotRunError if the server cannot have run
-	// the request; after any other error it may have. fresh asks for a connection that has not been
+	// the request, and an *InvalidReplyError if it sent something that is no answer to it; after any
+	// error but the first, it may have run the request. fresh asks for a connection that has not been
 	// idle for long.
 	Call(ctx context.Context, server discovery.Server, request *Request, timeout time.Duration, fresh bool) (*Reply, error)
 	// HasExited reports whether nothing listens at a server's address any more. It returns false if
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -94,6 +94,11 @@
 
 func countAttempt(kind attemptKind, outcome relaypb.Outcome) { attemptCounters[kind][outcome].Inc() }
 
+// countInvalidReply counts a call whose server sent something that is no answer to it.
+func countInvalidReply(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_server_invalid_replies_total{reason=%q}", reason)).Inc()
+}
+
 func countDenied(kind attemptKind) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("mallowgap_gateway_attempts_denied_total{kind=%q}", kind)).Inc()
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -74,6 +74,7 @@
 	if out.load.Unreadable != "" {
 		g.logUnreadable(c.backend, out.load.Unreadable)
 	}
+	g.noteInvalidReply(c.backend, r.ID, err, elapsed)
 	if evidence == callMoved {
 		g.requestLog.servers.Info().Str("server", c.backend.ID).Str("service", c.backend.Service).Msg("address now belongs to another server: no more requests are sent")
 		g.adapters.Backends.CloseIdle(c.backend.Server)
@@ -131,6 +132,17 @@
 		Msg("load reports of a server cannot be read: its load is not taken into account")
 }
 
+// noteInvalidReply counts and logs a call whose server sent something that is no answer to it.
+func (g *Gateway) noteInvalidReply(b *backend, requestID string, err error, elapsed time.Duration) {
+	var invalid *InvalidReplyError
+	if !errors.As(err, &invalid) {
+		return
+	}
+	countInvalidReply(invalid.Reason)
+	g.requestLog.servers.Warn().Str("server", b.ID).Str("service", b.Service).Str("request", requestID).Str("reason", invalid.Reason).
+		AnErr("error", invalid.Err).Dur("elapsed", elapsed).Msg("a server sent something that is no answer to its request")
+}
+
 // serverTime returns elapsed if the server ran the request, and 0 (unknown) otherwise.
 func serverTime(r result, elapsed time.Duration) time.Duration {
 	if r.outcome != relaypb.Outcome_PART {
--- a/internal/httppool/doc.go
+++ b/internal/httppool/doc.go
@@ -2,6 +2,11 @@
 // one request at a time on a connection and may misbehave: respond late or twice,
 // truncate a response, or send bytes that are not a response.
 //
-// Invariant: a Response is complete and belongs to its request. A connection is reused
-// only if nothing but that response was received on it.
+// Invariants:
+//   - A Response is complete and belongs to this sending of its request. A server may repeat
+//     a response where the next one on the connection is expected. The ID in it distinguishes
+//     the copy from the response to another request, and no connection carries the same
+//     request twice.
+//   - A response that names no request is accepted only on a connection that carried no other.
+//   - A connection is reused only if nothing followed the response.
 package httppool
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -71,48 +71,37 @@
 	// ID identifies the request in its responses. A request that is sent again has the ID that it
 	// had.
 	ID string
-	// Matches reports whether a response belongs to the request with this ID. If nil, every
-	// response does.
-	Matches func(*http.Response) bool
+	// Match tells to which request a response belongs. If nil, every response is the request's own.
+	Match func(*http.Response) Match
 	// MaxIdle bounds how long a reused connection may have been idle. 0 means no bound.
 	MaxIdle time.Duration
 }
 
+// Match is the relation of a response to the request for which it is read.
+type Match int
+
+const (
+	// Foreign is a response to another request. It is skipped.
+	Foreign Match = iota
+	// Unidentified is a response that names no request. It is accepted only on a connection that
+	// carried no other request.
+	Unidentified
+	// Own is the response to the request.
+	Own
+)
+
 // Response is a complete response.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
-	// Reused reports whether the response was received on a connection from the pool.
-	Reused bool
-}
-
-// NotSentError reports that no byte of the request was sent, so that the server cannot
-// run it.
-type NotSentError struct {
-	Address string
-	Err     error
-}
-
-// Error returns the address and the cause.
-func (e *NotSentError) Error() string {
-	return fmt.Sprintf("request not sent to %s: %v", e.Address, e.Err)
 }
 
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Err }
-
-var (
-	errMismatched = errors.New("the responses on this connection belong to other requests")
-	errTooLarge   = errors.New("the body exceeds the limit")
-	errTruncated  = errors.New("the body ended before its Content-Length")
-	errStatus     = errors.New("the status code is below 100")
-)
-
 // conn is a connection with its read buffer and the state of its idle timeout.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	reader *bufio.Reader
+	// reused reports whether the connection carried a request before.
 	reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -136,7 +125,6 @@
 		p.put(r.Address, c, response.Header)
 	}
 	if err == nil {
-		response.Reused = c.reused
 		return response, nil
 	}
 	if cause := ctx.Err(); cause != nil && !notSent(err) {
@@ -153,6 +141,7 @@
 // noteCarried records that a connection carried a request and reports whether the connection can
 // still be reused. After a success the request is not sent again, or the same success is its answer.
 func (c *conn) noteCarried(ctx context.Context, r *Request, response *Response) bool {
+	c.reused = true
 	if response.Status/100 == 2 {
 		return true
 	}
@@ -232,7 +221,6 @@
 }
 
 func (p *Pool) put(address string, c *conn, header http.Header) {
-	c.reused = true
 	c.idleSince = time.Now()
 	c.idleTimeout = idleTimeout(header)
 	p.mu.Lock()
@@ -337,28 +325,41 @@
 // whether the connection can be reused.
 func (c *conn) receive(r *Request, maxBody int64) (*Response, bool, error) {
 	request := &http.Request{Method: r.Method}
+	first := !c.reused
 	for range maxResponses {
 		head, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, false, fmt.Errorf("read response from %s: %w", r.Address, err)
+			return nil, false, readError(r.Address, err)
 		}
 		if head.StatusCode < 100 { // http.ReadResponse accepts it, and it cannot be forwarded.
-			return nil, false, fmt.Errorf("read response from %s: %w", r.Address, errStatus)
+			return nil, false, &InvalidResponseError{Address: r.Address, Reason: ReasonMalformed, Err: errStatus}
 		}
 		if head.StatusCode < 200 {
 			continue
 		}
 		body, err := readBody(head, maxBody)
 		if err != nil {
-			return nil, false, fmt.Errorf("read response body from %s: %w", r.Address, err)
+			return nil, false, readError(r.Address, err)
 		}
-		if r.Matches != nil && !r.Matches(head) {
+		switch match := r.match(head); {
+		case match == Foreign:
+			foreignResponses.Inc()
+			first = false
 			continue
+		case match == Unidentified && !first:
+			return nil, false, &InvalidResponseError{Address: r.Address, Reason: ReasonUnidentified, Err: errUnidentified}
 		}
 		reusable := !head.Close && c.reader.Buffered() == 0
 		return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, reusable, nil
 	}
-	return nil, false, fmt.Errorf("read response from %s: %w", r.Address, errMismatched)
+	return nil, false, &InvalidResponseError{Address: r.Address, Reason: ReasonForeign, Err: errMismatched}
+}
+
+func (r *Request) match(response *http.Response) Match {
+	if r.Match == nil {
+		return Own
+	}
+	return r.Match(response)
 }
 
 func readBody(head *http.Response, limit int64) ([]byte, error) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,7 +72,9 @@
 TestRefusingReplicaIsChosenLess@replica/set.go@s/lossPenalty = 6/lossPenalty = 0/@refusals do not affect replica selection
 TestRepeatedRejectionIsNoAnswerToALaterSending@internal/httppool/pool.go@s/conns\[i\].resendable.has\(r.ID, now\)/false/@a connection carries the same request twice
 TestLaterSendingUsesAnotherIdleConnection@internal/httppool/pool.go@s/for i >= 0 && /if /@a connection that did not carry the request is not looked for
-TestLateExtraAnswerBelongsToNobody@internal/httppool/pool.go@s/!r.Matches\(head\)/false/@a late answer to another request is accepted
+TestUnidentifiedResponseProvesNothingOnAUsedConnection@internal/httppool/pool.go@s/match == Unidentified && !first/false/@a response without an ID counts for any request
+TestUnidentifiedResponseAfterAForeignOneProvesNothing@internal/httppool/pool.go@s/first = false/_ = first/@a response without an ID counts after one to another request
+TestLateExtraAnswerBelongsToNobody@internal/httppool/pool.go@s/case match == Foreign:/case false:/@a late answer to another request is accepted
 TestBrokenAnswersAreErrors@internal/httppool/pool.go@s/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/@a truncated answer is accepted
 TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go@s/ && c.reader.Buffered\(\) == 0//; s/ && isOpenAndEmpty\(c.Conn\)//@a connection with unexpected bytes is reused
 TestEarlyAnswerToALongBodyEndsTheConnection@internal/httppool/pool.go@s/return response, false, err\n\t\}\n\}/return response, true, err\n\t}\n}/@the rest of a request body is read as another request
--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -27,7 +27,7 @@
   echo "$1: not detected within $most seeds"
 }
 guard "whole answers" internal/httppool/pool.go 's/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/'
-guard "own answers" internal/httppool/pool.go 's/reusable := .*/reusable := !head.Close/; s/r.Matches != nil \&\& !r.Matches\(head\)/false/; s/\&\& isOpenAndEmpty\(c.Conn\)//'
+guard "own answers" internal/httppool/pool.go 's/reusable := .*/reusable := !head.Close/; s/case match == Foreign:/case false:/; s/\&\& isOpenAndEmpty\(c.Conn\)//'
 guard "sent once" "internal/gateway/serve.go internal/gateway/query.go" 's/if !(q.)?entry.Idempotent \{/if false {/'
 guard "not run" internal/gateway/query.go 's/if !q.mayHaveRun \&\& !q.running\(\) \&\&/if/'
 guard "disjoint blocks" fanout/query.go 's/if !q.anyCovered\(b.Shards\) \{/if true {/'
