Answers without end fail at a limit, and all calls share the memory of what they read

No caller is known to have seen it.

Cause: http.ReadResponse has no limit for a head; closing a body reads it to its end; a body of known length was allocated at once, and nothing limited what all calls read together. The store: 10 MiB for a head, and an answer cut at 8 MiB counted as whole where its content is not used.

Evidence: on the code before, with servers that send 64 MiB, TestEndlessResponseEndsItsCall failed for status lines, header lines, long and short headers and informational heads (read to the end); TestEndlessResponsesAtOnceShareALimit with 258 MB of heap; TestEndlessAnswerOfTheStoreEndsItsCall in 8 of 11 forms. The tests for other hosts and for callers passed: sound.

At a limit the connection is closed at once and the call fails as "may have run"; the reason is counted and logged. Memory grows with what has arrived.

The mutants of internal/httppool and of the store's limits are caught.

--- a/internal/httppool/errors.go
+++ b/internal/httppool/errors.go
@@ -22,8 +22,12 @@
 	ReasonForeign Reason = "foreign"
 	// ReasonUnidentified: the response names no request and the connection carried others.
 	ReasonUnidentified Reason = "unidentified"
+	// ReasonHeadTooLarge: the head exceeds Settings.MaxHead.
+	ReasonHeadTooLarge Reason = "head_too_large"
 	// ReasonBodyTooLarge: the body exceeds Settings.MaxBody.
 	ReasonBodyTooLarge Reason = "body_too_large"
+	// ReasonMemory: all responses that are being read would exceed Settings.MaxMemory.
+	ReasonMemory Reason = "memory"
 )
 
 // InvalidResponseError reports that a server sent bytes that are no response to the request. The
@@ -60,19 +64,29 @@
 var (
 	errMismatched   = errors.New("the responses on this connection belong to other requests")
 	errUnidentified = errors.New("the response names no request, on a connection that carried others: it may belong to one of them")
-	errTooLarge     = errors.New("the body exceeds the limit")
+	errHeadTooLarge = errors.New("the head of the response exceeds the limit")
+	errBodyTooLarge = errors.New("the body exceeds the limit")
+	errBudget       = errors.New("the responses that are being read at once exceed the limit of their memory")
 	errTruncated    = errors.New("the body ended before its Content-Length")
 	errStatus       = errors.New("the status code is below 100")
 )
 
+// invalidReasons maps errors to the reason why a response is invalid.
+var invalidReasons = map[error]Reason{
+	errMismatched: ReasonForeign, errUnidentified: ReasonUnidentified, errHeadTooLarge: ReasonHeadTooLarge,
+	errBodyTooLarge: ReasonBodyTooLarge, errBudget: ReasonMemory,
+}
+
 // readError returns the error of a call whose response could not be read: the connection ended, or
 // its bytes are invalid.
 func readError(address string, err error) error {
+	for cause, reason := range invalidReasons {
+		if errors.Is(err, cause) {
+			return &InvalidResponseError{Address: address, Reason: reason, Err: err}
+		}
+	}
 	var network net.Error
-	switch {
-	case errors.Is(err, errTooLarge):
-		return &InvalidResponseError{Address: address, Reason: ReasonBodyTooLarge, Err: err}
-	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errTruncated):
+	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return fmt.Errorf("read response from %s: %w", address, err)
 	}
 	return &InvalidResponseError{Address: address, Reason: ReasonMalformed, Err: err}
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -43,20 +42,36 @@
 	// UserTimeout is how long sent data may remain unacknowledged before the connection
 	// is closed.
 	UserTimeout time.Duration
+	// MaxHead is the largest response head accepted, in bytes, with the informational responses
+	// before it.
+	MaxHead int64
 	// MaxBody is the largest response body accepted, in bytes.
 	MaxBody int64
+	// MaxMemory limits the memory of all responses that are read at once, in bytes, beyond what small
+	// ones take. Responses that would exceed it fail.
+	MaxMemory int64
+}
+
+// limits are the limits of the responses of a pool.
+type limits struct {
+	maxHead, maxBody int64
+	budget           *budget
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	settings Settings
+	limits   limits
 	mu       sync.Mutex
 	idle     map[string][]*conn
 }
 
 // New returns a pool without connections.
 func New(settings Settings) *Pool {
-	return &Pool{settings: settings, idle: map[string][]*conn{}}
+	return &Pool{
+		settings: settings, idle: map[string][]*conn{},
+		limits: limits{maxHead: settings.MaxHead, maxBody: settings.MaxBody, budget: newBudget(settings.MaxMemory)},
+	}
 }
 
 // Request is a request with the means to recognize its response.
@@ -100,6 +115,9 @@
 // conn is a connection with its read buffer and the state of its idle timeout.
 type conn struct {
 	net.Conn
+	limits *limits
+	source *limitedReader
+	// reader reads from source.
 	reader *bufio.Reader
 	// reused reports whether the connection carried a request before.
 	reused      bool
@@ -118,7 +136,7 @@
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	response, reusable, err := c.exchange(r, p.settings.MaxBody)
+	response, reusable, err := c.exchange(r)
 	if !stop() || err != nil || !reusable || !c.noteCarried(ctx, r, response) {
 		_ = c.Close()
 	} else {
@@ -184,7 +202,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize)}, nil
+	source := &limitedReader{conn: raw}
+	return &conn{Conn: raw, limits: &p.limits, source: source, reader: bufio.NewReaderSize(source, bufferSize)}, nil
 }
 
 // Prewarm establishes a connection to an address and adds it to the pool.
@@ -294,7 +313,7 @@
 
 // exchange sends a request and reads its response. It also returns whether the
 // connection can be reused.
-func (c *conn) exchange(r *Request, maxBody int64) (*Response, bool, error) {
+func (c *conn) exchange(r *Request) (*Response, bool, error) {
 	encoded := encode(r)
 	if len(encoded) < asyncWriteSize {
 		if n, err := c.Write(encoded); err != nil {
@@ -303,14 +322,14 @@
 			}
 			return nil, false, fmt.Errorf("send to %s: %w", r.Address, err)
 		}
-		return c.receive(r, maxBody)
+		return c.receive(r)
 	}
 	written := make(chan error, 1)
 	go func() {
 		_, err := c.Write(encoded)
 		written <- err
 	}()
-	response, reusable, err := c.receive(r, maxBody)
+	response, reusable, err := c.receive(r)
 	select {
 	case writeErr := <-written:
 		return response, reusable && writeErr == nil, err
@@ -321,72 +340,6 @@
 	}
 }
 
-// receive reads responses until the one that belongs to the request. It also returns
-// whether the connection can be reused.
-func (c *conn) receive(r *Request, maxBody int64) (*Response, bool, error) {
-	request := &http.Request{Method: r.Method}
-	first := !c.reused
-	for range maxResponses {
-		head, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, false, readError(r.Address, err)
-		}
-		if head.StatusCode < 100 { // http.ReadResponse accepts it, and it cannot be forwarded.
-			return nil, false, &InvalidResponseError{Address: r.Address, Reason: ReasonMalformed, Err: errStatus}
-		}
-		if head.StatusCode < 200 {
-			continue
-		}
-		body, err := readBody(head, maxBody)
-		if err != nil {
-			return nil, false, readError(r.Address, err)
-		}
-		switch match := r.match(head); {
-		case match == Foreign:
-			foreignResponses.Inc()
-			first = false
-			continue
-		case match == Unidentified && !first:
-			return nil, false, &InvalidResponseError{Address: r.Address, Reason: ReasonUnidentified, Err: errUnidentified}
-		}
-		reusable := !head.Close && c.reader.Buffered() == 0
-		return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, reusable, nil
-	}
-	return nil, false, &InvalidResponseError{Address: r.Address, Reason: ReasonForeign, Err: errMismatched}
-}
-
-func (r *Request) match(response *http.Response) Match {
-	if r.Match == nil {
-		return Own
-	}
-	return r.Match(response)
-}
-
-func readBody(head *http.Response, limit int64) ([]byte, error) {
-	defer func() { _ = head.Body.Close() }()
-	if head.Request.Method == http.MethodHead {
-		return nil, nil // The length is that of the body that a GET would get.
-	}
-	if head.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	if head.ContentLength >= 0 {
-		body := make([]byte, head.ContentLength)
-		if _, err := io.ReadFull(head.Body, body); err != nil {
-			return nil, fmt.Errorf("%w: %w", errTruncated, err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // encode returns a request in the wire format of HTTP/1.1.
 func encode(r *Request) []byte {
 	var b bytes.Buffer
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Mutation tests: applies each mutation of the list to a scratch copy and checks that
 # the named tests then fail. Fields of a line, separated by @: the tests (a|b), the
-# file, the mutation (a Perl expression), and the fault that it introduces.
+# files, the mutation (a Perl expression), and the fault that it introduces.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 scratch=$(mktemp -d)
@@ -12,9 +12,13 @@
   rm -rf "$scratch/tree"
   mkdir "$scratch/tree"
   git ls-files -coz --exclude-standard | xargs -0 cp --parents -t "$scratch/tree"
-  perl -0pi -e "$expression" "$scratch/tree/$file"
-  if cmp -s "$file" "$scratch/tree/$file"; then
-    echo "STALE    $test: $meaning (the expression does not match $file)"
+  unchanged=
+  for f in $file; do
+    perl -0pi -e "$expression" "$scratch/tree/$f"
+    if cmp -s "$f" "$scratch/tree/$f"; then unchanged=$f; fi
+  done
+  if [ -n "$unchanged" ]; then
+    echo "STALE    $test: $meaning (the expression does not match $unchanged)"
     survived=1
   elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination ./quota ./internal/callerconn -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
@@ -70,13 +74,20 @@
 TestOneSilentServerOfARelayCostsOneHedge@internal/gateway/query.go@s/maxSoftTimeoutShare = 0.2/maxSoftTimeoutShare = 0.9/@a relay delays its first reply
 TestRequestThatReachesNobodyIsRefusedSoon@internal/gateway/query.go@s/return q.reachedServer \|\| q.running\(\)/return true/@a call that reached no server counts as an offer
 TestRefusingReplicaIsChosenLess@replica/set.go@s/lossPenalty = 6/lossPenalty = 0/@refusals do not affect replica selection
-TestRepeatedRejectionIsNoAnswerToALaterSending@internal/httppool/pool.go@s/conns\[i\].resendable.has\(r.ID, now\)/false/@a connection carries the same request twice
+TestRepeatedRejectionIsNoAnswerToALaterSending@internal/httppool/pool.go@s/conns\[i\].resendable.has\(r.ID, now\)/conns[i].resendable.has("", now)/@a connection carries the same request twice
 TestLaterSendingUsesAnotherIdleConnection@internal/httppool/pool.go@s/for i >= 0 && /if /@a connection that did not carry the request is not looked for
-TestUnidentifiedResponseProvesNothingOnAUsedConnection@internal/httppool/pool.go@s/match == Unidentified && !first/false/@a response without an ID counts for any request
-TestUnidentifiedResponseAfterAForeignOneProvesNothing@internal/httppool/pool.go@s/first = false/_ = first/@a response without an ID counts after one to another request
-TestLateExtraAnswerBelongsToNobody@internal/httppool/pool.go@s/case match == Foreign:/case false:/@a late answer to another request is accepted
-TestBrokenAnswersAreErrors@internal/httppool/pool.go@s/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/@a truncated answer is accepted
-TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go@s/ && c.reader.Buffered\(\) == 0//; s/ && isOpenAndEmpty\(c.Conn\)//@a connection with unexpected bytes is reused
+TestUnidentifiedResponseProvesNothingOnAUsedConnection@internal/httppool/receive.go@s/match == Unidentified && !first/match == Unidentified \&\& !first \&\& false/@a response without an ID counts for any request
+TestUnidentifiedResponseAfterAForeignOneProvesNothing@internal/httppool/receive.go@s/first = false/_ = first/@a response without an ID counts after one to another request
+TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/l.left <= 0/false/@the head of a response has no limit
+TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/return nil, errBodyTooLarge\n\t\t\}\n\t\treturn body, err/_ = head.Body.Close()\n\t\t\treturn nil, errBodyTooLarge\n\t\t}\n\t\treturn body, err/@a body is read on after its limit
+TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/io.LimitReader\(head.Body, limit\+1\)/head.Body/@the body of an answer to another request has no limit
+TestEndlessResponsesAtOnceShareALimit@internal/httppool/budget.go@s/r.budget.free.Add\(-missing\) < 0/r.budget.free.Add(-missing) < -1<<60/@responses that are read at once have no limit
+TestEndlessResponsesAtOnceShareALimit@internal/httppool/receive.go@s/\tdefer memory.release\(\)\n//@the memory of a response is never free again
+TestEndlessAnswerOfTheStoreEndsItsCall@platform/store.go@s/, MaxResponseHeaderBytes: maxStoreHead//@the head of the store's answers has no limit
+TestEndlessAnswerOfTheStoreEndsItsCall@platform/store.go@s/len\(content\) > maxStoreBody/false/@an answer of the store that is cut at its limit counts as whole
+TestLateExtraAnswerBelongsToNobody@internal/httppool/receive.go@s/if match == Foreign \{/if false {/@a late answer to another request is accepted
+TestBrokenAnswersAreErrors@internal/httppool/receive.go@s/return nil, (fmt.Errorf\("%w: %w", errTruncated, err\))/_ = $1\n\t\treturn body, nil/@a truncated answer is accepted
+TestBytesAfterAnAnswerEndTheConnection@internal/httppool/pool.go internal/httppool/receive.go@s/ && c.reader.Buffered\(\) == 0//; s/ && isOpenAndEmpty\(c.Conn\)//@a connection with unexpected bytes is reused
 TestEarlyAnswerToALongBodyEndsTheConnection@internal/httppool/pool.go@s/return response, false, err\n\t\}\n\}/return response, true, err\n\t}\n}/@the rest of a request body is read as another request
 TestHostStartsSoonWhereTheStoreIsSilent@internal/control/peers.go@s/if v.StoreLost.IsZero\(\) && v.Revision > 0 \{/if v.StoreLost.IsZero() {/@a starting host waits for an unresponsive store
 TestHalfOfTheRelaysLostAtOnce@internal/control/peerhealth.go@s/if _, suspected := p.probeAt\[h.Address\]; suspected \|\|/if time.Now().Before(p.probeAt[h.Address]) ||/@requests are used to probe a lost peer
--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -26,8 +26,8 @@
   done
   echo "$1: not detected within $most seeds"
 }
-guard "whole answers" internal/httppool/pool.go 's/return nil, fmt.Errorf\("%w: %w", errTruncated, err\)/return body, nil/'
-guard "own answers" internal/httppool/pool.go 's/reusable := .*/reusable := !head.Close/; s/case match == Foreign:/case false:/; s/\&\& isOpenAndEmpty\(c.Conn\)//'
+guard "whole answers" internal/httppool/receive.go 's/return nil, (fmt.Errorf\("%w: %w", errTruncated, err\))/_ = \1; return body, nil/'
+guard "own answers" "internal/httppool/pool.go internal/httppool/receive.go" 's/reusable := .*/reusable := !head.Close/; s/if match == Foreign \{/if false {/; s/\&\& isOpenAndEmpty\(c.Conn\)//'
 guard "sent once" "internal/gateway/serve.go internal/gateway/query.go" 's/if !(q.)?entry.Idempotent \{/if false {/'
 guard "not run" internal/gateway/query.go 's/if !q.mayHaveRun \&\& !q.running\(\) \&\&/if/'
 guard "disjoint blocks" fanout/query.go 's/if !q.anyCovered\(b.Shards\) \{/if true {/'
