The text of a failure is short and valid UTF-8

What callers could see: a query lacks all parts that a relay had in one reply, when one server sends a malformed header line with bytes that are not UTF-8; and log lines of up to 262 KB.

Cause: errors of the HTTP parser repeat the line that they could not read, and became the reason of a failed call in a message whose strings must be UTF-8.

The stream of the tests' relay refuses what cannot be encoded.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/fanout"
+	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/quarantine"
 	"github.com/mallowgap/mallowgap/replica"
@@ -29,6 +30,9 @@
 	// slotRetryDelay, before it reports the server as busy. All retries together take less time
 	// than a retry by a requesting host in another region, which costs a round trip.
 	maxSlotRetries = 4
+	// maxRelayedReason is the maximum length in bytes of the reason of a failed call in a reply. A reason
+	// may repeat bytes of a server, and a reply must be valid UTF-8.
+	maxRelayedReason = 512
 )
 
 var (
@@ -180,7 +184,7 @@
 	r := indexed.result
 	result := &relaypb.CallResult{
 		Index: uint32(indexed.index), Outcome: r.outcome, Signature: r.signature,
-		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: r.reason, Waiting: uint32(r.load.Waiting),
+		ElapsedUs: uint64(r.elapsed.Microseconds()), Reason: obs.ShortText(r.reason, maxRelayedReason), Waiting: uint32(r.load.Waiting),
 		SlownessPercent: uint32(math.Round(100 * r.load.Slowness)), Unreachable: r.unreachable, ServerEnded: r.serverCrashed, BrokeOff: r.connectionLost, Barred: r.barred, Absent: r.absent, WaitUs: uint64(r.wait.Microseconds()),
 	}
 	if g.whole && r.reply != nil {
--- a/internal/gateway/relaywire_test.go
+++ b/internal/gateway/relaywire_test.go
@@ -16,6 +16,18 @@
 	"github.com/mallowgap/mallowgap/quarantine"
 )
 
+// The text of a failure may repeat bytes of a server. A relay could not send it, and lost the parts of all
+// servers in the same reply.
+func TestFailureWithAnyBytesIsRelayed(t *testing.T) {
+	for _, reason := range []string{"\xff\xfe", "caf\xc3", strings.Repeat("\xc3\xa9", 1<<20)} {
+		g := &gathering{pending: 1}
+		sent := g.add(indexedResult{0, result{outcome: relaypb.Outcome_FAILED, reason: reason}})
+		encoded, err := proto.Marshal(sent)
+		assert.NilError(t, err)
+		assert.Assert(t, len(encoded) < 1<<10, "%d bytes", len(encoded))
+	}
+}
+
 // Packing and unpacking a reply must restore the signature of each part, whatever the outcomes.
 func TestPackedRepliesComeBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/quarantine"
 )
 
@@ -258,7 +258,7 @@
 // describe returns a description of a request for operators, in UTF-8.
 func describe(r *Request, routeName string) string {
 	description := r.Method + " " + r.Host + r.Target + " (route " + routeName + ")"
-	return strings.ToValidUTF8(description[:min(len(description), quarantine.MaxDescription)], "?")
+	return obs.ShortText(description, quarantine.MaxDescription)
 }
 
 // fingerprint returns the fingerprint of the content and caller of a request. Where requests carry
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
 
@@ -439,6 +440,9 @@
 func (s *fakeStream) Context() context.Context { return s.ctx }
 
 func (s *fakeStream) Send(r *relaypb.GatherReply) error {
+	if _, err := proto.Marshal(r); err != nil {
+		return err
+	}
 	s.send(r)
 	return nil
 }
--- a/internal/httppool/errors.go
+++ b/internal/httppool/errors.go
@@ -7,6 +7,8 @@
 	"net"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
 // foreignResponses counts the responses to other requests that were skipped.
@@ -89,5 +91,5 @@
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return fmt.Errorf("read response from %s: %w", address, err)
 	}
-	return &InvalidResponseError{Address: address, Reason: ReasonMalformed, Err: err}
+	return &InvalidResponseError{Address: address, Reason: ReasonMalformed, Err: obs.Shorten(err)}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -78,6 +78,8 @@
 TestLaterSendingUsesAnotherIdleConnection@internal/httppool/pool.go@s/for i >= 0 && /if /@a connection that did not carry the request is not looked for
 TestUnidentifiedResponseProvesNothingOnAUsedConnection@internal/httppool/receive.go@s/match == Unidentified && !first/match == Unidentified \&\& !first \&\& false/@a response without an ID counts for any request
 TestUnidentifiedResponseAfterAForeignOneProvesNothing@internal/httppool/receive.go@s/first = false/_ = first/@a response without an ID counts after one to another request
+TestErrorOfAMalformedResponseIsShortText@internal/httppool/errors.go@s/obs.Shorten\(err\)/err/; s/\t"github.com\/mallowgap\/mallowgap\/internal\/obs"\n//@errors repeat all that a server sent
+TestFailureWithAnyBytesIsRelayed@internal/gateway/relay.go@s/obs.ShortText\(r.reason, maxRelayedReason\)/r.reason/; s/\t"github.com\/mallowgap\/mallowgap\/internal\/obs"\n//@a relay sends bytes that no message can hold
 TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/l.left <= 0/false/@the head of a response has no limit
 TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/return nil, errBodyTooLarge\n\t\t\}\n\t\treturn body, err/_ = head.Body.Close()\n\t\t\treturn nil, errBodyTooLarge\n\t\t}\n\t\treturn body, err/@a body is read on after its limit
 TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/io.LimitReader\(head.Body, limit\+1\)/head.Body/@the body of an answer to another request has no limit
