--- a/internal/httppool/carried.go
+++ b/internal/httppool/carried.go
@@ -7,9 +7,9 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// maxResendable limits the requests that a connection remembers: 8 KiB. A connection that would have
+// maxCarried limits the requests that a connection remembers: 8 KiB. A connection that would have
 // to remember more is closed instead.
-const maxResendable = 512
+const maxCarried = 512
 
 // connsReplaced counts the connections that were closed because they had carried a request that was
 // sent again, and no other connection was idle.
@@ -30,10 +30,10 @@
 
 // add adds a request that may be sent again until end. It reports false if the set is full.
 func (s *requestSet) add(id string, end, now time.Time) bool {
-	if len(*s) >= maxResendable {
+	if len(*s) >= maxCarried {
 		s.removeEnded(now)
 	}
-	if len(*s) >= maxResendable {
+	if len(*s) >= maxCarried {
 		return false
 	}
 	*s = append(*s, carriedRequest{maphash.String(idSeed, id), end})
--- a/internal/httppool/carried_test.go
+++ b/internal/httppool/carried_test.go
@@ -13,7 +13,7 @@
 	var s requestSet
 	now := time.Unix(1000, 0)
 	end := now.Add(time.Second)
-	for i := range maxResendable {
+	for i := range maxCarried {
 		assert.Assert(t, s.add(strconv.Itoa(i), end, now))
 	}
 	assert.Assert(t, !s.add("one more", end, now), "a full set must not forget a request")
--- a/internal/httppool/doc.go
+++ b/internal/httppool/doc.go
@@ -3,10 +3,10 @@
 // truncate a response, or send bytes that are not a response.
 //
 // Invariants:
-//   - A Response is complete and belongs to this sending of its request. A server may repeat
-//     a response where the next one on the connection is expected. The ID in it distinguishes
-//     the copy from the response to another request, and no connection carries the same
-//     request twice.
+//   - A Response is complete and belongs to this attempt at its request. A server may repeat a
+//     response where the next one on the connection is expected. The ID in it distinguishes
+//     the copy from the response to another request, and no connection carries two attempts
+//     at one request.
 //   - A response that names no request is accepted only on a connection that carried no other.
 //   - A connection is reused only if nothing followed the response.
 package httppool
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -123,8 +123,8 @@
 	reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// resendable holds the requests that the connection carried and that may be sent again.
-	resendable requestSet
+	// carried holds the requests that the connection carried and that may be sent again.
+	carried requestSet
 }
 
 // Do sends a request and returns its response. After an error other than a
@@ -167,15 +167,15 @@
 	if !bounded {
 		return false
 	}
-	return c.resendable.add(r.ID, end, time.Now())
+	return c.carried.add(r.ID, end, time.Now())
 }
 
 // connect returns an idle connection that is usable for the request, or a new one. Idle
 // connections that are too old, closed by the server or have unread data are discarded.
 //
-// A connection that carried the request before is passed over: if the server repeats the response
-// to the former sending, the ID does not distinguish the copy from the response to this one. If there
-// is no other, it is replaced by a new one, since servers limit their connections.
+// A connection that carried an earlier attempt at the request is passed over: if the server repeats
+// the response to that attempt, the ID does not distinguish the copy from the response to this one. If
+// there is no other, it is replaced by a new one, since servers limit their connections.
 func (p *Pool) connect(ctx context.Context, r *Request) (*conn, error) {
 	for {
 		c, carried := p.take(r)
@@ -226,7 +226,7 @@
 		return nil, false
 	}
 	i := len(conns) - 1
-	for i >= 0 && conns[i].resendable.has(r.ID, now) {
+	for i >= 0 && conns[i].carried.has(r.ID, now) {
 		i--
 	}
 	if i < 0 {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -74,8 +74,8 @@
 TestOneSilentServerOfARelayCostsOneHedge@internal/gateway/query.go@s/maxSoftTimeoutShare = 0.2/maxSoftTimeoutShare = 0.9/@a relay delays its first reply
 TestRequestThatReachesNobodyIsRefusedSoon@internal/gateway/query.go@s/return q.reachedServer \|\| q.running\(\)/return true/@a call that reached no server counts as an offer
 TestRefusingReplicaIsChosenLess@replica/set.go@s/lossPenalty = 6/lossPenalty = 0/@refusals do not affect replica selection
-TestRepeatedRejectionIsNoAnswerToALaterSending@internal/httppool/pool.go@s/conns\[i\].resendable.has\(r.ID, now\)/conns[i].resendable.has("", now)/@a connection carries the same request twice
-TestLaterSendingUsesAnotherIdleConnection@internal/httppool/pool.go@s/for i >= 0 && /if /@a connection that did not carry the request is not looked for
+TestRepeatedRejectionIsNoAnswerToARetry@internal/httppool/pool.go@s/conns\[i\].carried.has\(r.ID, now\)/conns[i].carried.has("", now)/@a connection carries the same request twice
+TestRetryUsesAnotherIdleConnection@internal/httppool/pool.go@s/for i >= 0 && /if /@a connection that did not carry the request is not looked for
 TestUnidentifiedResponseProvesNothingOnAUsedConnection@internal/httppool/receive.go@s/match == Unidentified && !first/match == Unidentified \&\& !first \&\& false/@a response without an ID counts for any request
 TestUnidentifiedResponseAfterAForeignOneProvesNothing@internal/httppool/receive.go@s/first = false/_ = first/@a response without an ID counts after one to another request
 TestErrorOfAMalformedResponseIsShortText@internal/httppool/errors.go@s/obs.Shorten\(err\)/err/; s/\t"github.com\/mallowgap\/mallowgap\/internal\/obs"\n//@errors repeat all that a server sent
