--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net"
-	"runtime"
 	"testing"
 	"time"
 
@@ -13,17 +12,13 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
+	"github.com/mallowgap/mallowgap/internal/endless"
 	"github.com/mallowgap/mallowgap/internal/peer"
 )
 
-const (
-	// endlessBytes is where an endless message ends after all, so that a reader without a limit fails
-	// the test and not the machine.
-	endlessBytes = 256 << 20
-	// maxMessageMemory limits what a message without end may allocate: 6 times the greatest message, as
-	// its buffer grows by doubling and is copied.
-	maxMessageMemory = 6 * 17 << 20
-)
+// maxMessageMemory limits what a message without end may allocate, in bytes: 6 times the greatest
+// message, as its buffer grows by doubling and is copied.
+const maxMessageMemory = 6 * 17 << 20
 
 // endlessMessages are bytes that never complete a message.
 func endlessMessages(kind drpcwire.Kind) map[string][]byte {
@@ -36,24 +31,6 @@
 	}
 }
 
-// writeEndless writes a block again and again, and reports whether the receiver took all.
-func writeEndless(c net.Conn, block []byte) (taken bool) {
-	for written := 0; written < endlessBytes; written += len(block) {
-		if _, err := c.Write(block); err != nil {
-			return false
-		}
-	}
-	return true
-}
-
-func allocated(fn func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	fn()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 // A host that sends without end must lose its connection in bounded memory.
 func TestEndlessMessageOfAPeerEndsItsConnection(t *testing.T) {
 	mux := drpcmux.New()
@@ -69,7 +46,7 @@
 			assert.NilError(t, err)
 			defer func() { _ = c.Close() }()
 			var taken bool
-			memory := allocated(func() { taken = writeEndless(c, block) })
+			memory := endless.Allocated(func() { taken = endless.Write(c, "", block) })
 			assert.Assert(t, !taken)
 			assert.Assert(t, memory < maxMessageMemory, "%d bytes allocated", memory)
 		})
@@ -90,13 +67,13 @@
 					return
 				}
 				defer func() { _ = c.Close() }()
-				taken <- writeEndless(c, block)
+				taken <- endless.Write(c, "", block)
 			}()
 			client := peer.NewDRPCClient(time.Second, nil)
 			defer func() { _ = client.Close() }()
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 			defer cancel()
-			memory := allocated(func() {
+			memory := endless.Allocated(func() {
 				_, err = client.State(ctx, listener.Addr().String(), &relaypb.StateRequest{})
 			})
 			assert.Assert(t, err != nil && ctx.Err() == nil, "%v", err)
