A body that ends before its announced length is an error whatever the reader says

Read as a newcomer: readUpTo returns what it has at an end of file, and its caller relied on the HTTP body to report a short one as unexpected. A connection's memory of requests takes 16 KiB, not 8; the text of a shortened error may have 512 bytes, so that a long address of the store leaves room for the cause.

--- a/internal/httppool/carried.go
+++ b/internal/httppool/carried.go
@@ -7,8 +7,8 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// maxCarried limits the requests that a connection remembers: 8 KiB. A connection that would have
-// to remember more is closed instead.
+// maxCarried limits the requests that a connection remembers, which take 16 KiB then. A connection that
+// would have to remember more is closed instead.
 const maxCarried = 512
 
 // connsReplaced counts the connections that were closed because they had carried a request that was
--- a/internal/httppool/receive.go
+++ b/internal/httppool/receive.go
@@ -121,6 +121,9 @@
 		return nil, errBodyTooLarge
 	}
 	body, err := readUpTo(head.Body, length, min(length, maxFirstBuffer), memory)
+	if err == nil && int64(len(body)) < length {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
--- a/internal/obs/text.go
+++ b/internal/obs/text.go
@@ -3,11 +3,11 @@
 import "strings"
 
 // maxErrorText is the maximum length of the text of a shortened error, in bytes.
-const maxErrorText = 256
+const maxErrorText = 512
 
-// ShortText returns the first max bytes of a text as valid UTF-8.
-func ShortText(text string, max int) string {
-	return strings.ToValidUTF8(text[:min(len(text), max)], "?")
+// ShortText returns the first limit bytes of a text as valid UTF-8.
+func ShortText(text string, limit int) string {
+	return strings.ToValidUTF8(text[:min(len(text), limit)], "?")
 }
 
 // Shorten returns an error with a short text in valid UTF-8, for an error whose text may repeat bytes
