--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -155,7 +155,7 @@
 TestStanding@quarantine/standing.go@s/if !h.servedAt.IsZero\(\) \{\n\t\ts.Standing = min/if false {\n\t\ts.Standing = min/@a request that was served is barred anyway
 TestBarAfterServedGraceIsPublished@internal/guard/guard.go@s/g.processChanges\("time"\)/g.requestCount.Store(int64(g.book.Len()))/@a bar that starts by passage of time is not announced
 TestBarFollowingRemovalOfAnotherIsPublished@quarantine/standing.go@s/\n\tb.updateRelated\([a-z.]+\)//g@a bar that starts as another ends is not announced
-TestQueryUnderWayEndsWhenItsContentIsBarred@internal/home/query.go@s/q.recheckBarred\(\)/q.quarantine.barredChanged = nil/@queries in flight are not notified of a bar
+TestQueryUnderWayEndsWhenItsContentIsBarred@internal/home/query.go@s/q.step\(q.recheckBarred\)/q.step(func() { q.quarantine.barredChanged = nil })/@queries in flight are not notified of a bar
 TestTrialsLeaveShardsEnoughToServeOthers@internal/gateway/trial.go@s/running := q.running\(\)/running := t.shard >= 0 && q.state.Running(t.shard) > 0/@a trial starts while other calls are running
 TestQueryWithoutPartsIsNotHedgedEarly@internal/gateway/attempt.go@s/need.Hedge && q.holdsHedges\(now\)/false/@hedges are sent before any shard has answered
 TestSecondHostHearsBeforeTheTrialIsOver@internal/gateway/trial.go@s/q.reportCrashes\(now\) \/\/ A repeat.*//@peers are notified only after the trial
