--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -113,7 +113,7 @@
 TestRelayTellsRefusalsAtOnce@internal/gateway/relay.go@s/failureReplyDue = time.After\(failureReplyDelay\)/failureReplyDue = nil/@refusals are delayed until the parts are sent
 TestQueueIsRememberedBetweenRareReports@replica/wait.go@s/halfLifeIntervals\*l.reportInterval/0*l.reportInterval/@the estimate of a queue decays between rare reports
 TestReplicaThatLosesAnswersIsChosenLess@replica/eject.go@s/\tleaf.lossRate \+= ewmaWeight \* \(1 - leaf.lossRate\)\n//@failures do not affect replica selection
-TestFloodOfTheLowerRankLeavesTheHigherAlone@admission/gate.go@s/floorShare\*\(1-g.refusedShare\)\*g.offeredWork\(\)\/r.work/0.2/@the guaranteed share of a rank grows with its demand
+TestFloodOfTheLowerRankLeavesTheHigherAlone@admission/gate.go@s/floorShare\*\(1-g.refusedShare\)\*g.offeredWork\(\)\/r.work.value/0.2/@the guaranteed share of a rank grows with its demand
 TestLateCallersComeLast@admission/gate.go@s/if r.late != request.Late \{/if false {/@late requests are queued with the others
 TestWritesDoNotGrowWithTheHosts@internal/control/announce.go@s/if a.delegated.Load\(\) \{/if false {/@followers also write their own entries
 TestEntryOfALostFollowerGoes@internal/control/announce.go@s/followerGrace = 3 \* time.Second/followerGrace = time.Hour/@the entry of a lost follower is not removed soon
--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -28,6 +28,7 @@
 }
 guard "whole answers" internal/httppool/receive.go 's/return nil, (fmt.Errorf\("%w: %w", errTruncated, err\))/_ = \1; return body, nil/'
 guard "own answers" "internal/httppool/pool.go internal/httppool/receive.go" 's/reusable := .*/reusable := !head.Close/; s/if match == Foreign \{/if false {/; s/\&\& isOpenAndEmpty\(c.Conn\)//'
+guard "bytes without end" internal/httppool/receive.go 's/if l.left <= 0 \{/if false {/' 60000
 guard "sent once" "internal/gateway/serve.go internal/gateway/query.go" 's/if !(q.)?entry.Idempotent \{/if false {/'
 guard "not run" internal/gateway/query.go 's/if !q.mayHaveRun \&\& !q.running\(\) \&\&/if/'
 guard "disjoint blocks" fanout/query.go 's/if !q.anyCovered\(b.Shards\) \{/if true {/'
