--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -168,7 +168,7 @@
 TestServersGetTheTeamInPlaceOfTheKey@internal/gateway/team.go@s/\t\tr.Header.Set\(g.adapters.TeamHeader, found.Name\)\n//@servers are not told the team
 TestMistakesInTheListOfTeams|TestRequestsWithoutAKeyOfATeamAreRefused@team/directory.go@s/return holder\{first.digest, noTeam\}/return first/@a key of two teams belongs to the first
 TestRequestsWithoutAKeyOfATeamAreRefused@internal/gateway/team.go@s/case known \|\| entry.Public:/case known:/@a public route requires a key
-TestRequestsWithoutAKeyOfATeamAreRefused@internal/gateway/team.go@s/case known \|\| entry.Public:/case true:/@every route is public
+TestRequestsWithoutAKeyOfATeamAreRefused@internal/gateway/team.go@s/case known \|\| entry.Public:/case known || true:/@every route is public
 TestCredential@team/team.go@s/len\(authorization\) != 1/len(authorization) == 0/@the first of several credentials counts
 TestRemovedKeyIsRefused@route/table.go@s/if len\(config.Teams\) > 0 \{/if len(config.Teams) > 0 && config.Version == 1 {/@keys of later configurations are ignored
 TestWithoutTeamsKeysAreForwarded@internal/gateway/team.go@s/if teams == nil \{/if teams == nil {\n\t\tteams = team.NewDirectory(nil)\n\t}\n\tif false {/@without teams, keys are required
