--- a/review/standin2/storm_test.go
+++ b/review/standin2/storm_test.go
@@ -4,109 +4,140 @@
 
 import (
 	"fmt"
-	"sync"
+	"strings"
 	"time"
 )
 
 func init() { cases["storm"] = storm }
 
-// route returns a route with a single service.
-func route(name, prefix, kind, service string) map[string]any {
+// The doses of the disruption, and the bounds of the rules in a small deployment.
+const (
+	grownBy      = 350 // routes a big_config adds
+	grownTo      = 1250
+	stormGap     = 60 * time.Millisecond
+	stormChanges = 25 // 1.5 s
+	slowFactor   = 60
+	slowTime     = 4500 * time.Millisecond
+	applyBound   = 3 * time.Second
+	drainBound   = 3 * time.Second
+	stableTime   = 4 * time.Second
+)
+
+// singleRoute returns a route to one service.
+func singleRoute(name, prefix, kind, service string) map[string]any {
 	return map[string]any{"name": name, "host": "desk.example", "prefix": prefix, "kind": kind, "service": service, "timeout_ms": 2000, "goal_ms": 600, "priority": 1, "max_attempts": 2}
 }
 
-// storm lets the configuration grow by many routes and then change in quick succession, while the
-// store is slow.
-func storm(w *world) (broken bool, err error) {
-	names := []string{}
-	for i := range 30 {
-		names = append(names, fmt.Sprintf("boarding-console~%d", i+1))
+// stormOperator writes versions of the configuration.
+type stormOperator struct {
+	w       *world
+	version int
+	shards  []string
+}
+
+// write writes a version with the number of added routes. The route of the clients goes to service.
+func (o *stormOperator) write(added int, service string, idleMs int) time.Time {
+	o.version += 3
+	routes := []any{singleRoute("bagtag", "/bagtag/", "safe", service)}
+	for i := range added {
+		r := singleRoute(fmt.Sprintf("added-%04d", i), fmt.Sprintf("/added-%04d/", i), "safe", "")
+		delete(r, "service")
+		r["gather"], r["top_k"], r["min_share"] = o.shards, 50, 0.89
+		routes = append(routes, r)
+	}
+	services := []any{map[string]any{"name": "tag-printer", "max_conns": 100, "health_path": "/health"}, map[string]any{"name": "kiosk-self", "max_conns": 100, "health_path": "/health"}}
+	for _, n := range o.shards {
+		services = append(services, map[string]any{"name": n, "max_conns": 26, "health_path": "/health"})
 	}
+	limits := map[string]any{"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": idleMs}
+	return o.w.store.put("op/config", map[string]any{"version": o.version, "routes": routes, "services": services, "limits": limits})
+}
+
+// storm lets the configuration grow, and then change in quick succession while the store is slow. Well
+// after both have ended, it looks which service runs the requests, and whether a server that drains still
+// gets some.
+func storm(w *world) (broken bool, err error) {
 	old, err := w.addLeaf("tag-printer", "z1", 5*time.Millisecond)
 	if err != nil {
 		return false, err
 	}
-	fresh, err := w.addLeaf("kiosk-self", "z2", 5*time.Millisecond)
-	if err != nil {
+	if _, err := w.addLeaf("kiosk-self", "z2", 5*time.Millisecond); err != nil {
 		return false, err
 	}
-	version := 0
-	write := func(added int, service string, idle int) time.Time {
-		version += 3
-		routes := []any{route("bagtag", "/bagtag/", "safe", service)}
-		for i := range added {
-			r := route(fmt.Sprintf("added-%d", i), fmt.Sprintf("/added-%05d/", i), "safe", "")
-			delete(r, "service")
-			r["gather"], r["top_k"], r["min_share"] = names, 50, 0.89
-			routes = append(routes, r)
-		}
-		services := []any{map[string]any{"name": "tag-printer", "max_conns": 100, "health_path": "/health"}, map[string]any{"name": "kiosk-self", "max_conns": 100, "health_path": "/health"}}
-		for _, n := range names {
-			services = append(services, map[string]any{"name": n, "max_conns": 26, "health_path": "/health"})
-		}
-		return w.store.put("op/config", map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": idle}})
+	o := &stormOperator{w: w}
+	for i := range 30 {
+		o.shards = append(o.shards, fmt.Sprintf("boarding-console~%d", i+1))
 	}
-	write(0, "tag-printer", 30000)
-	var mu sync.Mutex
+	o.write(0, "tag-printer", 30_000)
 	w.store.watched = func(host string, status, events, size int) {
-		if events > 0 || status != 200 {
-			w.record.printf("watch of %s: status %d, %d events, %d bytes", host, status, events, size)
+		if size > 1000 || status != 200 {
+			w.record.printf("the store answers a watch of %s: status %d, %d events, %d bytes", host, status, events, size)
 		}
 	}
-	_ = &mu
 	if err := w.addGateways("z1", "z2", "z3"); err != nil {
 		return false, err
 	}
+	for added := 0; added < grownTo; {
+		added = min(added+grownBy, grownTo)
+		o.write(added, "tag-printer", 30_000)
+		w.record.printf("version %d acknowledged: %d routes were added", o.version, added)
+		time.Sleep(1500 * time.Millisecond)
+	}
 	clients := []*client{}
 	for i := range w.gateways {
 		clients = append(clients, w.newClient(i+1))
 	}
-	added := 0
-	for added < 1250 {
-		added = min(added+350, 1250)
-		write(added, "tag-printer", 30000)
-		time.Sleep(1500 * time.Millisecond)
+	for i, g := range w.gateways {
+		if a := clients[i].send(g, "GET", "desk.example", "/bagtag/x", nil, 2*time.Second, nil); a.status != 200 || a.header.Get("X-Mallowgap-Stamp") != stamp("tag-printer", a.id) {
+			return false, errSetup
+		}
 	}
+	begun := time.Now()
+	var last time.Time
 	if w.trouble {
 		w.record.printf("the store is slow")
-		w.store.setSlow(60)
-	}
-	slowSince := time.Now()
-	time.Sleep(500 * time.Millisecond)
-	var last time.Time
-	for i := range 25 {
-		service := "tag-printer"
-		if i == 24 {
-			service = "kiosk-self"
+		w.store.setSlow(slowFactor)
+		time.Sleep(500 * time.Millisecond)
+		for i := range stormChanges - 1 {
+			o.write(grownTo, "tag-printer", 30_001+i)
+			time.Sleep(stormGap)
 		}
-		last = write(added, service, 30000+i)
-		time.Sleep(60 * time.Millisecond)
 	}
-	w.record.printf("version %d acknowledged: the route goes to kiosk-self", version)
-	time.Sleep(time.Until(slowSince.Add(4500 * time.Millisecond)))
+	last = o.write(grownTo, "kiosk-self", 30_000)
+	w.record.printf("version %d acknowledged: the route goes to kiosk-self", o.version)
+	time.Sleep(time.Until(begun.Add(slowTime)))
 	w.store.setSlow(1)
 	w.record.printf("the store is as usual")
-	stale := 0
-	for time.Since(last) < 32*time.Second {
+	inTouch := begun.Add(slowTime + stableTime)
+	time.Sleep(time.Until(inTouch.Add(500 * time.Millisecond)))
+	drained := old.register("draining")
+	w.record.printf("%s of tag-printer acknowledged as draining", old.id)
+
+	stale, late := 0, 0
+	for time.Since(begun) < 30*time.Second {
 		for i, g := range w.gateways {
 			a := clients[i].send(g, "GET", "desk.example", "/bagtag/x", nil, 2*time.Second, nil)
-			by := ""
-			if a.err == nil && a.status == 200 {
-				switch a.header.Get("X-Mallowgap-Stamp") {
-				case stamp("tag-printer", a.id):
-					by = "tag-printer"
-				case stamp("kiosk-self", a.id):
-					by = "kiosk-self"
+			ranBy := "none"
+			for _, service := range []string{"tag-printer", "kiosk-self"} {
+				if a.err == nil && a.header.Get("X-Mallowgap-Stamp") == stamp(service, a.id) {
+					ranBy = service
 				}
 			}
-			w.record.printf("%s to %s: %d %v, run by %s, %v after the acknowledgement", a.id, g.name, a.status, a.err, by, a.sent.Sub(last).Round(time.Millisecond))
-			if by == "tag-printer" && a.sent.Sub(last) > 3*time.Second && a.sent.After(slowSince.Add(4500*time.Millisecond+4*time.Second)) {
+			isStale := ranBy == "tag-printer" && a.sent.After(inTouch) && a.sent.Sub(last) > applyBound
+			w.record.printf("request %s to %s: status %d, error %v, run by %s; sent %v after the version was acknowledged, stale %v", a.id, g.name, a.status, a.err, ranBy, a.sent.Sub(last).Round(time.Millisecond), isStale)
+			if isStale {
 				stale++
 			}
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
+	}
+	for _, a := range old.arrived() {
+		if a.at.Sub(drained) > drainBound && strings.HasPrefix(a.path, "/bagtag/") {
+			late++
+			w.record.printf("request %s reached %s %v after it was acknowledged as draining", a.id, old.id, a.at.Sub(drained).Round(time.Millisecond))
+		}
 	}
-	_, _ = old, fresh
-	w.record.printf("%d requests were run by the old service", stale)
-	return stale > 0, nil
+	w.record.printf("CONFIG: %d requests were run by the old service, sent later than %v after the acknowledgement, with the store as usual for %v", stale, applyBound, stableTime)
+	w.record.printf("DRAIN: %d requests reached a server later than %v after it was acknowledged as draining", late, drainBound)
+	return stale > 0 || late > 0, nil
 }
