--- a/review/standin2/leaf_test.go
+++ b/review/standin2/leaf_test.go
@@ -15,9 +15,9 @@
 
 // arrival is a request that reached a server.
 type arrival struct {
-	id, path string
-	at       time.Time
-	ran      bool
+	id, path, tenant string
+	at               time.Time
+	ran              bool
 }
 
 // leaf is a stand-in of a server.
@@ -46,6 +46,13 @@
 	l := &leaf{w: w, id: fmt.Sprintf("i-%04x", len(w.leafs)+1), service: service, zone: zone, address: listener.Addr().String(), listener: listener, work: work}
 	w.leafs = append(w.leafs, l)
 	w.mu.Unlock()
+	if w.linked {
+		link, err := w.newProxy(l.address, "r"+zone[1:])
+		if err != nil {
+			return nil, err
+		}
+		l.address = link.address
+	}
 	go func() { _ = http.Serve(listener, http.HandlerFunc(l.serve)) }()
 	l.register("ready")
 	return l, nil
@@ -84,12 +91,12 @@
 		return
 	}
 	if target := r.Header.Get("X-Mallowgap-Target-Instance"); target != "" && target != l.id {
-		l.note(arrival{id, r.RequestURI, time.Now(), false})
+		l.note(arrival{id: id, path: r.RequestURI, at: time.Now()})
 		rw.Header().Set("X-Mallowgap-Request-Id", id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	l.note(arrival{id, r.RequestURI, time.Now(), true})
+	l.note(arrival{id: id, path: r.RequestURI, tenant: r.Header.Get("X-Mallowgap-Tenant"), at: time.Now(), ran: true})
 	if l.respond != nil {
 		l.respond(l, rw, r, body)
 		return
--- a/review/standin2/world_test.go
+++ b/review/standin2/world_test.go
@@ -41,6 +41,10 @@
 	store    *store
 	gateways []*gateway
 
+	// cut is the region that is cut off. linked is set if all links pass a proxy.
+	cut    regionCut
+	linked bool
+
 	mu    sync.Mutex
 	leafs []*leaf
 }
@@ -84,6 +88,9 @@
 	return l.Addr().String(), nil
 }
 
+// storeRegion is the region of the platform's store.
+const storeRegion = "r1"
+
 // gateway is a process of the gateway.
 type gateway struct {
 	w                    *world
@@ -109,7 +116,7 @@
 callers = %s
 ready = %s
 peers = %s
-[store]
+%s[store]
 address = %s
 seeds = %s
 server_heartbeat = 1200ms
@@ -139,18 +146,25 @@
 	if binary == "" {
 		binary = "target/mallowgap"
 	}
-	peers := make([]string, len(zones))
+	peers, reached := make([]string, len(zones)), make([]string, len(zones))
 	seeds := ""
 	for i := range zones {
 		var err error
 		if peers[i], err = w.freeAddress(); err != nil {
 			return err
 		}
+		if reached[i] = peers[i]; w.linked {
+			link, err := w.newProxy(peers[i], "r"+zones[i][1:])
+			if err != nil {
+				return err
+			}
+			reached[i] = link.address
+		}
 		if i > 0 && i < 3 {
 			seeds += ","
 		}
 		if i < 3 {
-			seeds += peers[i]
+			seeds += reached[i]
 		}
 	}
 	for i, zone := range zones {
@@ -167,8 +181,17 @@
 		if err != nil {
 			return err
 		}
+		advertised := ""
+		if w.linked {
+			advertised = "peers_advertised = " + reached[i] + "\n"
+			link, err := w.newProxy(door, storeRegion)
+			if err != nil {
+				return err
+			}
+			door = link.address
+		}
 		g.settings = filepath.Join(w.dir, g.name+".ini")
-		text := fmt.Sprintf(settingsText, g.name, zone, "r"+zone[1:], callers, ready, peers[i], door, seeds)
+		text := fmt.Sprintf(settingsText, g.name, zone, "r"+zone[1:], callers, ready, peers[i], advertised, door, seeds)
 		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
