--- a/review/standin2/leaf_test.go
+++ b/review/standin2/leaf_test.go
@@ -90,7 +90,7 @@
 		rw.Header().Set("X-Mallowgap-Instance-Id", l.id)
 		return
 	}
-	if target := r.Header.Get("X-Mallowgap-Target-Instance"); target != "" && target != l.id {
+	if target := r.Header.Get("X-Mallowgap-Target-Instance"); target != "" && target != l.currentID() {
 		l.note(arrival{id: id, path: r.RequestURI, at: time.Now()})
 		rw.Header().Set("X-Mallowgap-Request-Id", id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -128,3 +128,9 @@
 	defer l.mu.Unlock()
 	return append([]arrival(nil), l.arrivals...)
 }
+
+func (l *leaf) currentID() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id
+}
