--- a/review/standin2/storm_test.go
+++ b/review/standin2/storm_test.go
@@ -35,21 +35,22 @@
 	shards  []string
 }
 
-// write writes a version with the number of added routes. The route of the clients goes to service.
-func (o *stormOperator) write(added int, service string, idleMs int) time.Time {
+// write writes a version with the number of added routes and their time-out. The route of the clients
+// goes to service.
+func (o *stormOperator) write(added int, service string, timeoutMs int) time.Time {
 	o.version += 3
 	routes := []any{singleRoute("bagtag", "/bagtag/", "safe", service)}
 	for i := range added {
 		r := singleRoute(fmt.Sprintf("added-%04d", i), fmt.Sprintf("/added-%04d/", i), "safe", "")
 		delete(r, "service")
-		r["gather"], r["top_k"], r["min_share"] = o.shards, 50, 0.89
+		r["gather"], r["top_k"], r["min_share"], r["timeout_ms"] = o.shards, 50, 0.89, timeoutMs
 		routes = append(routes, r)
 	}
 	services := []any{map[string]any{"name": "tag-printer", "max_conns": 100, "health_path": "/health"}, map[string]any{"name": "kiosk-self", "max_conns": 100, "health_path": "/health"}}
 	for _, n := range o.shards {
 		services = append(services, map[string]any{"name": n, "max_conns": 26, "health_path": "/health"})
 	}
-	limits := map[string]any{"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": idleMs}
+	limits := map[string]any{"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": 30_000}
 	return o.w.store.put("op/config", map[string]any{"version": o.version, "routes": routes, "services": services, "limits": limits})
 }
 
@@ -68,7 +69,7 @@
 	for i := range 30 {
 		o.shards = append(o.shards, fmt.Sprintf("boarding-console~%d", i+1))
 	}
-	o.write(0, "tag-printer", 30_000)
+	o.write(0, "tag-printer", 2000)
 	w.store.watched = func(host string, status, events, size int) {
 		if size > 1000 || status != 200 {
 			w.record.printf("the store answers a watch of %s: status %d, %d events, %d bytes", host, status, events, size)
@@ -79,7 +80,7 @@
 	}
 	for added := 0; added < grownTo; {
 		added = min(added+grownBy, grownTo)
-		o.write(added, "tag-printer", 30_000)
+		o.write(added, "tag-printer", 2000)
 		w.record.printf("version %d acknowledged: %d routes were added", o.version, added)
 		time.Sleep(1500 * time.Millisecond)
 	}
@@ -99,11 +100,11 @@
 		w.store.setSlow(slowFactor)
 		time.Sleep(500 * time.Millisecond)
 		for i := range stormChanges - 1 {
-			o.write(grownTo, "tag-printer", 30_001+i)
+			o.write(grownTo, "tag-printer", 2001+i)
 			time.Sleep(stormGap)
 		}
 	}
-	last = o.write(grownTo, "kiosk-self", 30_000)
+	last = o.write(grownTo, "kiosk-self", 2000)
 	w.record.printf("version %d acknowledged: the route goes to kiosk-self", o.version)
 	time.Sleep(time.Until(begun.Add(slowTime)))
 	w.store.setSlow(1)
