--- a/review/standin2/world_test.go
+++ b/review/standin2/world_test.go
@@ -40,6 +40,8 @@
 	dir      string
 	store    *store
 	gateways []*gateway
+	// ports is the number of ports that were looked at for gateways.
+	ports int
 
 	// cut tells whether the regions have lost each other. linked is set if all links pass a proxy.
 	cut    regionCut
@@ -78,14 +80,20 @@
 	}
 }
 
+// firstPort is the first port of the gateways. It is below those that the system assigns by itself, so
+// that no other listener of the case takes the port of a gateway before it listens.
+const firstPort = 20_000
+
 // freeAddress returns an address of this deployment on which nothing listens.
 func (w *world) freeAddress() (string, error) {
-	l, err := net.Listen("tcp", w.address+":0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		w.ports++
+		address := fmt.Sprintf("%s:%d", w.address, firstPort+w.ports)
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // storeRegion is the region of the platform's store.
