--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets are described in README.md.
-.PHONY: build demo test fuzz chaos mutants bench capacity compare generate lint soak
+.PHONY: build demo test crowd fuzz chaos mutants bench capacity compare generate lint soak
 FUZZ_CHECKS ?= 500
 
 build:
@@ -9,8 +9,13 @@
 	scripts/demo.sh
 
 # CI passes -skip for the tests in KNOWN-RED.txt and runs them by themselves.
+# The tests of crowds measure the memory of a process, so they run last and alone.
 test:
-	go test $(TESTFLAGS) ./...
+	go test $(TESTFLAGS) $$(go list ./... | grep -v '/platform/crowd$$')
+	go test -p 1 -count 1 $(TESTFLAGS) ./platform/crowd
+
+crowd:
+	go test -p 1 -count 1 -v ./platform/crowd
 
 fuzz:
 	MALLOWGAP_FRESH=1 go test ./internal/invariant/ -timeout 60m -rapid.checks=$(FUZZ_CHECKS)
