memlimit: the budget for answers of servers becomes a package that readers of callers can use

Change: budget, share and the growing read move from internal/httppool to internal/memlimit. The budget is guarded by a lock in place of an atomic number, and tells when memory becomes free. Answers behave as before. Ruled out: a budget per package with the same code. Measured: tests of internal/httppool, platform and the new ones pass; no decision changes.

--- a/internal/httppool/errors.go
+++ b/internal/httppool/errors.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mallowgap/mallowgap/internal/memlimit"
 	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
@@ -68,7 +69,6 @@
 	errUnidentified = errors.New("the response names no request, on a connection that carried others: it may belong to one of them")
 	errHeadTooLarge = errors.New("the head of the response exceeds the limit")
 	errBodyTooLarge = errors.New("the body exceeds the limit")
-	errBudget       = errors.New("the responses that are being read at once exceed the limit of their memory")
 	errTruncated    = errors.New("the body ended before its Content-Length")
 	errStatus       = errors.New("the status code is below 100")
 )
@@ -76,7 +76,7 @@
 // invalidReasons maps errors to the reason why a response is invalid.
 var invalidReasons = map[error]Reason{
 	errMismatched: ReasonForeign, errUnidentified: ReasonUnidentified, errHeadTooLarge: ReasonHeadTooLarge,
-	errBodyTooLarge: ReasonBodyTooLarge, errBudget: ReasonMemory,
+	errBodyTooLarge: ReasonBodyTooLarge, memlimit.ErrExhausted: ReasonMemory,
 }
 
 // readError returns the error of a call whose response could not be read: the connection ended, or
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/mallowgap/mallowgap/internal/memlimit"
 	"github.com/mallowgap/mallowgap/internal/sockopt"
 )
 
@@ -55,7 +56,7 @@
 // limits are the limits of the responses of a pool.
 type limits struct {
 	maxHead, maxBody int64
-	budget           *budget
+	budget           *memlimit.Budget
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -70,7 +71,7 @@
 func New(settings Settings) *Pool {
 	return &Pool{
 		settings: settings, idle: map[string][]*conn{},
-		limits: limits{maxHead: settings.MaxHead, maxBody: settings.MaxBody, budget: newBudget(settings.MaxMemory)},
+		limits: limits{maxHead: settings.MaxHead, maxBody: settings.MaxBody, budget: memlimit.NewBudget(settings.MaxMemory)},
 	}
 }
 
--- a/internal/httppool/receive.go
+++ b/internal/httppool/receive.go
@@ -1,12 +1,13 @@
 package httppool
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+
+	"github.com/mallowgap/mallowgap/internal/memlimit"
 )
 
 // limitedReader reads from a connection. It limits the bytes of response heads, which http.ReadResponse
@@ -16,11 +17,13 @@
 	// left is the number of bytes that may still be read.
 	left int64
 	// memory is set while a head is read.
-	memory *reservation
+	memory *memlimit.Share
 }
 
 // beginHead limits the bytes that are read until endHead.
-func (l *limitedReader) beginHead(limit int64, memory *reservation) { l.left, l.memory = limit, memory }
+func (l *limitedReader) beginHead(limit int64, memory *memlimit.Share) {
+	l.left, l.memory = limit, memory
+}
 
 // endHead removes the limit.
 func (l *limitedReader) endHead() { l.left, l.memory = math.MaxInt64, nil }
@@ -33,7 +36,7 @@
 	n, err := l.conn.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
 	if l.memory != nil && err == nil {
-		err = l.memory.grow(int64(n) * headCost)
+		err = l.memory.Grow(int64(n) * headCost)
 	}
 	return n, err
 }
@@ -41,8 +44,8 @@
 // receive reads responses until the one that belongs to the request. It also returns
 // whether the connection can be reused.
 func (c *conn) receive(r *Request) (*Response, bool, error) {
-	memory := reservation{budget: c.limits.budget}
-	defer memory.release()
+	memory := memlimit.Share{Budget: c.limits.budget, Allowance: allowance}
+	defer memory.Release()
 	request := &http.Request{Method: r.Method}
 	first := !c.reused
 	c.source.beginHead(c.limits.maxHead, &memory)
@@ -98,6 +101,11 @@
 }
 
 const (
+	// allowance is the memory, in bytes, that a response may take without a share of the budget, so that
+	// servers with endless responses do not fail ordinary ones.
+	allowance = 128 << 10
+	// headCost is the memory that a byte of a response head takes at most once it is parsed, in bytes.
+	headCost = 16
 	// minBuffer is the size in bytes of the first buffer for a body of unknown length.
 	minBuffer = 512
 	// maxFirstBuffer limits the first buffer for a body whose length the server announces, in bytes.
@@ -105,13 +113,13 @@
 )
 
 // readBody reads a body to its end.
-func readBody(head *http.Response, limit int64, memory *reservation) ([]byte, error) {
+func readBody(head *http.Response, limit int64, memory *memlimit.Share) ([]byte, error) {
 	if head.Request.Method == http.MethodHead {
 		return nil, nil // The length is that of the body that a GET would get.
 	}
 	length := head.ContentLength
 	if length < 0 {
-		body, err := readUpTo(head.Body, limit+1, minBuffer, memory)
+		body, err := memlimit.ReadUpTo(head.Body, limit+1, minBuffer, memory.Grow)
 		if err == nil && int64(len(body)) > limit {
 			return nil, errBodyTooLarge
 		}
@@ -120,7 +128,7 @@
 	if length > limit {
 		return nil, errBodyTooLarge
 	}
-	body, err := readUpTo(head.Body, length, min(length, maxFirstBuffer), memory)
+	body, err := memlimit.ReadUpTo(head.Body, length, min(length, maxFirstBuffer), memory.Grow)
 	if err == nil && int64(len(body)) < length {
 		err = io.ErrUnexpectedEOF
 	}
@@ -129,27 +137,3 @@
 	}
 	return body, nil
 }
-
-// readUpTo reads to the end of a body or until n bytes are read. Its buffer, of size bytes at first, grows
-// with what has arrived, so that an announced length alone costs no memory.
-func readUpTo(body io.Reader, n, size int64, memory *reservation) ([]byte, error) {
-	var buffer []byte
-	for int64(len(buffer)) < n {
-		if len(buffer) == cap(buffer) {
-			grown := min(max(2*int64(cap(buffer)), size), n)
-			if err := memory.grow(grown - int64(cap(buffer))); err != nil {
-				return nil, err
-			}
-			buffer = append(make([]byte, 0, grown), buffer...)
-		}
-		k, err := body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+k]
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-	return buffer, nil
-}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -20,7 +20,7 @@
   if [ -n "$unchanged" ]; then
     echo "STALE    $test: $meaning (the expression does not match $unchanged)"
     survived=1
-  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination ./quota ./internal/callerconn -run "^($test)\$" >"$scratch/out" 2>&1); then
+  elif (cd "$scratch/tree" && go test ./admission ./internal/invariant ./config ./internal/gateway ./internal/control ./fanout ./route ./discovery ./retry ./replica ./platform ./internal/peer ./internal/packing ./internal/obs ./internal/explain ./scarcity ./limit ./quarantine ./internal/guard ./internal/home ./team ./internal/coordination ./quota ./internal/callerconn ./internal/memlimit ./evict -run "^($test)\$" >"$scratch/out" 2>&1); then
     echo "SURVIVED $test: $meaning"
     survived=1
   elif ! grep -q -- '--- FAIL' "$scratch/out"; then
@@ -83,8 +83,8 @@
 TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/l.left <= 0/false/@the head of a response has no limit
 TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/return nil, errBodyTooLarge\n\t\t\}\n\t\treturn body, err/_ = head.Body.Close()\n\t\t\treturn nil, errBodyTooLarge\n\t\t}\n\t\treturn body, err/@a body is read on after its limit
 TestEndlessResponseEndsItsCall@internal/httppool/receive.go@s/io.LimitReader\(head.Body, limit\+1\)/head.Body/@the body of an answer to another request has no limit
-TestEndlessResponsesAtOnceShareALimit@internal/httppool/budget.go@s/r.budget.free.Add\(-missing\) < 0/r.budget.free.Add(-missing) < -1<<60/@responses that are read at once have no limit
-TestEndlessResponsesAtOnceShareALimit@internal/httppool/receive.go@s/\tdefer memory.release\(\)\n//@the memory of a response is never free again
+TestEndlessResponsesAtOnceShareALimit@internal/memlimit/memlimit.go@s/b.free < n/b.free < -1<<60/@responses that are read at once have no limit
+TestEndlessResponsesAtOnceShareALimit@internal/httppool/receive.go@s/\tdefer memory.Release\(\)\n//@the memory of a response is never free again
 TestEndlessAnswerOfTheStoreEndsItsCall@platform/store.go@s/, MaxResponseHeaderBytes: maxStoreHead//@the head of the store's answers has no limit
 TestEndlessAnswerOfTheStoreEndsItsCall@platform/store.go@s/len\(content\) > maxStoreBody/false/@an answer of the store that is cut at its limit counts as whole
 TestLateExtraAnswerBelongsToNobody@internal/httppool/receive.go@s/if match == Foreign \{/if false {/@a late answer to another request is accepted
