The limit of a request's head holds while the head is read

Cause: the configuration's limit was compared once the head was read and parsed; until then net/http's own 1 MB held for each connection, up to 16 times that once parsed. Ruled out: http.Server.MaxHeaderBytes alone, which cannot follow the configuration; a close without an answer, which promises less than the 431 that callers know from before. Change: a caller's connection counts the bytes of a head as it reads, answers 431 beyond the limit in force when the head began and what net/http reads ahead, and ends. Readiness, metrics and health have a limit of 8 KB. TestHeadWithoutEndIsRefused fails without the check (make mutants).

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -35,6 +36,9 @@
 	readSinceWrite bool
 	// writeSince is when the pending write began; zero if there is none.
 	writeSince time.Time
+	// phase, headBytes and headLimit tell what of the current request was read (see request.go).
+	phase                phase
+	headBytes, headLimit int64
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
 	// closing is why the next read without a byte ends the connection, Unknown if it does not, and
@@ -50,14 +54,21 @@
 	return &Conn{Conn: conn, tracker: t, accepted: now, fresh: true, idleSince: now, end: Open}
 }
 
-// Read implements net.Conn. If the connection is to be closed as idle and no byte is there, it
-// returns an error, upon which net/http closes the connection.
+// Read implements net.Conn. If the connection is to be closed as idle and no byte is there, or the head
+// of a request exceeds its limit, it returns an error, upon which net/http closes the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
+		if c.isRefused() {
+			return 0, errRefused
+		}
 		n, err := c.Conn.Read(p)
-		if !c.noteRead(n, err) {
-			return n, err
+		if c.noteRead(n, err) {
+			continue
+		}
+		if n > 0 && c.headTooLarge() {
+			return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge, HeadTooLarge)
 		}
+		return n, err
 	}
 }
 
@@ -67,6 +78,7 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		c.readSinceWrite = true
+		c.countHead(n)
 		c.startHeader()
 		c.setBusy()
 		return false
@@ -95,6 +107,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, errRefused // net/http has an answer of its own to a head that it cannot parse.
+	}
 	c.beginWrite()
 	n, err := c.Conn.Write(p)
 	c.noteWritten(err)
@@ -176,6 +191,7 @@
 func (c *Conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.phase = serving
 	c.setBusy()
 }
 
@@ -201,6 +217,7 @@
 func (c *Conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.phase = awaiting
 	if !c.readSinceWrite {
 		c.idleSince = now
 	}
--- a/internal/callerconn/end.go
+++ b/internal/callerconn/end.go
@@ -32,13 +32,15 @@
 	Idle
 	// Stopping: this host closed it as idle during a graceful shutdown.
 	Stopping
+	// HeadTooLarge: this host refused a request whose head exceeds the limit.
+	HeadTooLarge
 	// Closed: this host closed it after a response, or instead of one.
 	Closed
 )
 
 // String returns the name used in logs and metrics.
 func (e End) String() string {
-	return [...]string{"unknown", "open", "end_of_file", "reset", "deadline", "broken", "idle", "stopping", "closed"}[e]
+	return [...]string{"unknown", "open", "end_of_file", "reset", "deadline", "broken", "idle", "stopping", "head_too_large", "closed"}[e]
 }
 
 // FromContext returns why the connection of a request ended. It is known before the context of the
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -38,6 +38,7 @@
 	headerTimeout time.Duration
 	// writeTimeout limits the time of one write; 0 is no limit.
 	writeTimeout time.Duration
+	limits       Limits
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -48,6 +49,9 @@
 // NewTracker returns a tracker without connections.
 func NewTracker() *Tracker { return &Tracker{conns: map[*Conn]struct{}{}} }
 
+// Limit sets the limits of the connections. It must be called before Listen.
+func (t *Tracker) Limit(l Limits) { t.limits = l }
+
 // Listen returns a listener whose connections are tracked.
 func (t *Tracker) Listen(l net.Listener) net.Listener {
 	t.mu.Lock()
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -40,8 +40,15 @@
 // ErrRequestsAborted is returned by Run if a graceful shutdown cut off requests.
 var ErrRequestsAborted = errors.New("requests were cut off: raise drain_timeout in [shutdown]")
 
-// httpShutdownTimeout bounds the wait for open HTTP connections at the end of a stop.
-const httpShutdownTimeout = 2 * time.Second
+const (
+	// httpShutdownTimeout bounds the wait for open HTTP connections at the end of a stop.
+	httpShutdownTimeout = 2 * time.Second
+	// httpHeaderTimeout and httpReadTimeout limit the time to read the head of a request for health, readiness
+	// or metrics, and all of it; maxHTTPHead limits the head in bytes.
+	httpHeaderTimeout = 5 * time.Second
+	httpReadTimeout   = 30 * time.Second
+	maxHTTPHead       = 8 << 10
+)
 
 // Dependencies holds the external dependencies of a daemon.
 type Dependencies struct {
@@ -272,7 +279,7 @@
 	}
 	s.peerServer = peer.NewServer(recoveringHandler{handler: mux, daemon: d})
 	s.ctx, s.stopPeers = context.WithCancel(ctx)
-	s.httpServer = &http.Server{Handler: d.httpHandler(), ReadHeaderTimeout: 5 * time.Second}
+	s.httpServer = &http.Server{Handler: d.httpHandler(), ReadHeaderTimeout: httpHeaderTimeout, ReadTimeout: httpReadTimeout, MaxHeaderBytes: maxHTTPHead}
 	return s, nil
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/callerconn"
+	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/internal/peer"
 )
@@ -34,6 +35,10 @@
 	// ended, so that their answers are written. answerShare limits it, as a share of the time to drain.
 	answerTime  = 250 * time.Millisecond
 	answerShare = 0.25
+	// maxProbeHead limits the head of a request for readiness or metrics, in bytes.
+	maxProbeHead = 8 << 10
+	// refusalLinesPerSecond limits the log lines of one process about requests that were refused while they were read.
+	refusalLinesPerSecond = 5
 	// closeTimeout limits the time to close the remaining listeners at the end of a graceful shutdown.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -117,10 +122,11 @@
 		}
 		s.listeners[key] = listener
 	}
+	s.conns.Limit(g.callerLimits())
 	s.listeners["callers"] = s.conns.Listen(s.listeners["callers"])
 	s.callers = newCallerServer(h.Callers, l.GetHeaderTimeout().AsDuration(), s.conns)
-	s.ready = &http.Server{Handler: h.Ready, ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
-	s.metrics = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: l.GetHeaderTimeout().AsDuration()}
+	s.ready = newProbeServer(h.Ready, l.GetHeaderTimeout().AsDuration())
+	s.metrics = newProbeServer(metricsHandler(), l.GetHeaderTimeout().AsDuration())
 	errorLog := newHTTPErrorLog(g.log)
 	s.callers.ErrorLog, s.ready.ErrorLog, s.metrics.ErrorLog = errorLog, errorLog, errorLog
 	mux := drpcmux.New()
@@ -138,6 +144,22 @@
 	return s
 }
 
+// newProbeServer returns a server for readiness checks or metrics, whose requests are short.
+func newProbeServer(h http.Handler, headerTimeout time.Duration) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, MaxHeaderBytes: maxProbeHead}
+}
+
+// callerLimits returns the limits of the connections of callers.
+func (g *Gateway) callerLimits() callerconn.Limits {
+	lines := obs.RateLimited(g.log, refusalLinesPerSecond)
+	return callerconn.Limits{
+		HeadBytes: func() int { return g.Limits().HeaderBytes },
+		OnRefusal: func(r callerconn.Refusal) {
+			lines.Info().Str("reason", r.Reason.String()).Str("caller", r.Caller.String()).Int64("head_bytes", r.HeadBytes).Msg("request of a caller refused while it was read")
+		},
+	}
+}
+
 func metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c echo.Context) error {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -236,6 +236,8 @@
 TestPanicBeforeSendingReleasesTheSlot@internal/gateway/serve.go@s/\tq.abandonUnsent\(\)\n//@a panic before sending keeps slots taken
 TestPanicWhileARequestIsServedIsAnswered@platform/caller.go@s/\t\tdefer recoverHandler\(.*\)\n//@a panic closes the connection of the caller
 TestPanicOfAListenerDoesNotEndTheControlState@internal/control/state.go@s/s.contain\("change of servers", func\(\) \{ (.*) \}\)\n/$1\n/@a panic in the request path keeps the state from being published
+TestHeadWithoutEndIsRefused@internal/callerconn/request.go@s/ && c.headBytes > c.headLimit\+readAhead/ \&\& false/@a head has no limit while it is read
+TestLimitOfAHeadIsThatOfOneRequest@internal/callerconn/conn.go@s/\tc.phase = awaiting\n\tif/\tif/@heads of further requests have no beginning
 TestStoppingListenerAcceptsWhatWaits@internal/callerconn/tracker.go@s/if !ok \|\| !tracked.stop\(\) \{/if ok || !tracked.stop() {/@a stop resets connections that wait to be accepted
 TestShutdownAnswersARequestThatIsBeingRead@internal/callerconn/conn.go@s/c.idleSince.IsZero\(\) \|\| //@a connection of which a request is read is closed as idle
 TestRequestsThatAShutdownAbortsAreAnswered@internal/gateway/gateway.go@s/\tclose\(g.aborting\)\n//@requests in flight at the end of a stop are cut
