Requests that are read and served share a limit of memory; who holds most for longest makes room

Cause: each body was read whole into a doubling buffer for up to 30 s, and nothing bounded all bodies together, nor what the kernel holds unread (100 KB a connection in a trial with 1,000). Change: callerconn bounds the memory of requests (an eighth of the host's; 16 KB of each are free); package evict decides; 503 with Retry-After to requests that were not read whole only; a body announced over the limit is refused before it is read; the kernel keeps 16 KB of a connection. Setting request_memory_mb, a gauge, a reason, a line.

--- /dev/null
+++ b/evict/evict.go
@@ -0,0 +1,41 @@
+// Package evict decides which callers make room when all of them together take more of a host than it has.
+//
+// Invariants:
+//   - A request that was read whole is never chosen while it may run.
+//   - A request that has just begun is not chosen, so that callers that send without pause are served even beside
+//     a crowd that returns at once.
+package evict
+
+import "time"
+
+// Tenure is how long a request may be read before it can be chosen: a caller that sends without pause has sent a
+// body of a few hundred KiB by then.
+const Tenure = 50 * time.Millisecond
+
+// Request is a request that is being read.
+type Request struct {
+	// Held is its memory in bytes.
+	Held int64
+	// Age is for how long the host has waited for its caller since the first byte. The time for which the caller waited
+	// for memory does not count.
+	Age time.Duration
+}
+
+// ForMemory returns the index of the request that makes room for others, the one that holds the most for the
+// longest, and how long to wait until it may be ended. The index is -1 if there is none.
+//
+// The time since the last byte is no measure: a caller that sends a byte now and then would stay, and a slow one that
+// sends in bursts would go.
+func ForMemory(requests []Request) (victim int, wait time.Duration) {
+	victim = -1
+	var most float64
+	for i, r := range requests {
+		if cost := float64(r.Held) * float64(r.Age); victim < 0 || cost > most {
+			victim, most = i, cost
+		}
+	}
+	if victim < 0 {
+		return victim, 0
+	}
+	return victim, max(0, Tenure-requests[victim].Age)
+}
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -39,6 +38,10 @@
 	// phase, headBytes and headLimit tell what of the current request was read (see request.go).
 	phase                phase
 	headBytes, headLimit int64
+	// share is the memory of the current request. It is nil while none is read or served.
+	share *share
+	// evicted is whether the request must end to make room for others.
+	evicted bool
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
 	// closing is why the next read without a byte ends the connection, Unknown if it does not, and
@@ -54,20 +57,17 @@
 	return &Conn{Conn: conn, tracker: t, accepted: now, fresh: true, idleSince: now, end: Open}
 }
 
-// Read implements net.Conn. If the connection is to be closed as idle and no byte is there, or the head
-// of a request exceeds its limit, it returns an error, upon which net/http closes the connection.
+// Read implements net.Conn. If the connection is to be closed as idle and no byte is there, or the request is
+// refused, it returns an error, upon which net/http closes the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		if c.isRefused() {
-			return 0, errRefused
+		if err := c.refusal(); err != nil {
+			return 0, err
 		}
 		n, err := c.Conn.Read(p)
-		if c.noteRead(n, err) {
+		if c.noteRead(n, err) || n > 0 && !c.admitHead(p[:n]) {
 			continue
 		}
-		if n > 0 && c.headTooLarge() {
-			return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge, HeadTooLarge)
-		}
 		return n, err
 	}
 }
@@ -88,6 +88,8 @@
 	}
 	end := endOf(err)
 	switch {
+	case c.evicted:
+		return true // The next look at refusal ends the request.
 	case end != Deadline:
 	case c.closing != Unknown:
 		if !c.looked {
@@ -121,7 +123,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readSinceWrite, c.writeSince = false, time.Now()
-	if timeout := c.tracker.writeTimeout; timeout > 0 {
+	timeout := c.tracker.writeTimeout
+	if c.evicted {
+		timeout = refusalTime
+	}
+	if timeout > 0 {
 		_ = c.Conn.SetWriteDeadline(c.writeSince.Add(timeout)) // A connection that fails here fails the write too.
 	}
 }
@@ -150,7 +156,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.closing != Unknown {
+	if c.closing != Unknown || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -167,6 +173,7 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	c.releaseShare()
 	if end, first := c.noteClose(); first {
 		c.tracker.remove(c)
 		ended[end].Inc()
@@ -191,7 +198,8 @@
 func (c *Conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = serving
+	c.beginRequest()
+	c.phase = readingBody
 	c.setBusy()
 }
 
@@ -215,10 +223,13 @@
 
 // setIdle records that a response ended.
 func (c *Conn) setIdle(now time.Time) {
+	c.releaseShare()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = awaiting
-	if !c.readSinceWrite {
+	if c.readSinceWrite {
+		c.beginRequest()
+	} else {
 		c.idleSince = now
 	}
 }
--- a/internal/callerconn/end.go
+++ b/internal/callerconn/end.go
@@ -34,13 +34,15 @@
 	Stopping
 	// HeadTooLarge: this host refused a request whose head exceeds the limit.
 	HeadTooLarge
+	// Memory: this host ended a request that was being read, to make room for others.
+	Memory
 	// Closed: this host closed it after a response, or instead of one.
 	Closed
 )
 
 // String returns the name used in logs and metrics.
 func (e End) String() string {
-	return [...]string{"unknown", "open", "end_of_file", "reset", "deadline", "broken", "idle", "stopping", "head_too_large", "closed"}[e]
+	return [...]string{"unknown", "open", "end_of_file", "reset", "deadline", "broken", "idle", "stopping", "head_too_large", "memory", "closed"}[e]
 }
 
 // FromContext returns why the connection of a request ended. It is known before the context of the
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -39,6 +39,7 @@
 	// writeTimeout limits the time of one write; 0 is no limit.
 	writeTimeout time.Duration
 	limits       Limits
+	memory       *requestMemory
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -47,10 +48,22 @@
 }
 
 // NewTracker returns a tracker without connections.
-func NewTracker() *Tracker { return &Tracker{conns: map[*Conn]struct{}{}} }
+func NewTracker() *Tracker {
+	return &Tracker{conns: map[*Conn]struct{}{}, memory: newRequestMemory(0)}
+}
 
 // Limit sets the limits of the connections. It must be called before Listen.
-func (t *Tracker) Limit(l Limits) { t.limits = l }
+func (t *Tracker) Limit(l Limits) { t.limits, t.memory = l, newRequestMemory(l.Memory) }
+
+// Open returns the number of open connections.
+func (t *Tracker) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+// MemoryTaken returns what the requests that are read and served take of Limits.Memory, in bytes.
+func (t *Tracker) MemoryTaken() int64 { return t.memory.taken() }
 
 // Listen returns a listener whose connections are tracked.
 func (t *Tracker) Listen(l net.Listener) net.Listener {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,9 +16,9 @@
 
 	"github.com/mallowgap/mallowgap/api/relaypb"
 	"github.com/mallowgap/mallowgap/internal/callerconn"
-	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/internal/peer"
+	"github.com/mallowgap/mallowgap/internal/sockopt"
 )
 
 const (
@@ -37,8 +37,6 @@
 	answerShare = 0.25
 	// maxProbeHead limits the head of a request for readiness or metrics, in bytes.
 	maxProbeHead = 8 << 10
-	// refusalLinesPerSecond limits the log lines of one process about requests that were refused while they were read.
-	refusalLinesPerSecond = 5
 	// closeTimeout limits the time to close the remaining listeners at the end of a graceful shutdown.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -116,7 +114,11 @@
 		if address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
+		config := net.ListenConfig{}
+		if key == "callers" {
+			config.Control = sockopt.ReceiveBuffer(receiveBuffer)
+		}
+		listener, err := config.Listen(context.Background(), "tcp", address)
 		if err != nil {
 			return nil, fmt.Errorf("[listen] %s: %w: choose a free address of this host", key, err)
 		}
@@ -149,17 +151,6 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, MaxHeaderBytes: maxProbeHead}
 }
 
-// callerLimits returns the limits of the connections of callers.
-func (g *Gateway) callerLimits() callerconn.Limits {
-	lines := obs.RateLimited(g.log, refusalLinesPerSecond)
-	return callerconn.Limits{
-		HeadBytes: func() int { return g.Limits().HeaderBytes },
-		OnRefusal: func(r callerconn.Refusal) {
-			lines.Info().Str("reason", r.Reason.String()).Str("caller", r.Caller.String()).Int64("head_bytes", r.HeadBytes).Msg("request of a caller refused while it was read")
-		},
-	}
-}
-
 func metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c echo.Context) error {
@@ -186,6 +177,7 @@
 		pause.Sleep(ctx, idleSweepInterval)
 		now := time.Now()
 		sweepEdges(now)
+		observeCallers(s.conns)
 		idleTimeout := g.Limits().IdleTimeout
 		if idleTimeout <= 0 {
 			idleTimeout = maxIdleTime
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -18,19 +18,10 @@
 type Budget struct {
 	mu   sync.Mutex
 	free int64
-	// released is closed and replaced when memory becomes free.
-	released chan struct{}
 }
 
 // NewBudget returns a budget of size bytes.
-func NewBudget(size int64) *Budget { return &Budget{free: size, released: make(chan struct{})} }
-
-// Released returns a channel that is closed when memory next becomes free.
-func (b *Budget) Released() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.released
-}
+func NewBudget(size int64) *Budget { return &Budget{free: size} }
 
 func (b *Budget) take(n int64) bool {
 	b.mu.Lock()
@@ -43,14 +34,9 @@
 }
 
 func (b *Budget) put(n int64) {
-	if n == 0 {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.free += n
-	close(b.released)
-	b.released = make(chan struct{})
 }
 
 // Share is the part of a budget that one message has. It belongs to one goroutine.
@@ -81,11 +67,10 @@
 
 // Release returns the share to the budget.
 func (s *Share) Release() {
-	reserved := s.reserved
-	s.total, s.reserved = 0, 0
-	if reserved > 0 {
-		s.Budget.put(reserved)
+	if s.reserved > 0 {
+		s.Budget.put(s.reserved)
 	}
+	s.total, s.reserved = 0, 0
 }
 
 // ReadUpTo reads to the end of a body or until n bytes are read. Its buffer, of size bytes at first, grows with
--- a/internal/memlimit/memlimit_test.go
+++ b/internal/memlimit/memlimit_test.go
@@ -15,9 +15,7 @@
 	assert.Equal(t, first.Reserved(), int64(80))
 	assert.ErrorIs(t, second.Grow(31), ErrExhausted)
 	assert.NilError(t, second.Grow(30))
-	released := budget.Released()
 	first.Release()
-	<-released
 	assert.NilError(t, second.Grow(80))
 	assert.ErrorIs(t, second.Grow(1), ErrExhausted)
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -27,3 +27,18 @@
 		return setErr
 	}
 }
+
+// ReceiveBuffer returns a net.ListenConfig Control function that sets how many bytes the kernel keeps unread for each
+// accepted connection. The kernel takes as much again for its own use.
+func ReceiveBuffer(bytes int) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+		})
+		if err != nil {
+			return err
+		}
+		return setErr
+	}
+}
--- a/purity_test.go
+++ b/purity_test.go
@@ -16,7 +16,7 @@
 
 // decisionPackages contain pure decision logic, without I/O, transport or metrics.
 var decisionPackages = []string{
-	"admission", "config", "discovery", "drain", "fanout", "limit", "member", "once", "quarantine", "quota", "rendezvous", "replica", "retry", "route", "scarcity", "scatter",
+	"admission", "config", "discovery", "drain", "evict", "fanout", "limit", "member", "once", "quarantine", "quota", "rendezvous", "replica", "retry", "route", "scarcity", "scatter",
 	"snapshot", "team",
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -238,6 +238,12 @@
 TestPanicOfAListenerDoesNotEndTheControlState@internal/control/state.go@s/s.contain\("change of servers", func\(\) \{ (.*) \}\)\n/$1\n/@a panic in the request path keeps the state from being published
 TestHeadWithoutEndIsRefused@internal/callerconn/request.go@s/ && c.headBytes > c.headLimit\+readAhead/ \&\& false/@a head has no limit while it is read
 TestLimitOfAHeadIsThatOfOneRequest@internal/callerconn/conn.go@s/\tc.phase = awaiting\n\tif/\tif/@heads of further requests have no beginning
+TestStalledRequestsMakeRoom@internal/callerconn/memory.go@s/\tm.evict\(shares\[victim\], requests\[victim\]\)/\tm.evict(first.share, requests[victim])/@requests that hold still keep their memory
+TestServedRequestsAreKept@internal/callerconn/memory.go@s/s.whole \|\| s.evicted/s.evicted/@a request that may run is refused
+TestServedRequestsAreKept@internal/callerconn/memory.go@s/left = evict.Tenure - now.Sub\(first.since\)/left = time.Hour/@a request waits for memory that served ones hold
+TestRequestsThatHaveJustBegunAreKept@internal/callerconn/memory.go@s/if err := grow\(length\); err != nil \{\n\t\treturn nil, err\n\t\}\n\treturn memlimit.ReadUpTo\(body, length, min\(length, bodyBuffer\), func\(int64\) error \{ return nil \}\)/return memlimit.ReadUpTo(body, length, min(length, bodyBuffer), grow)/@the memory of an announced body is taken piece by piece
+TestMemoryIsFreeAfterEachRequest@internal/callerconn/conn.go@s/\tc.releaseShare\(\)\n\tif end, first/\tif end, first/@the memory of a caller that left is never free
+TestForMemoryChoosesWhoHoldsMostForLongest@evict/evict.go@s/float64\(r.Held\) \* float64\(r.Age\)/float64(r.Held)/@who holds for long stays
 TestStoppingListenerAcceptsWhatWaits@internal/callerconn/tracker.go@s/if !ok \|\| !tracked.stop\(\) \{/if ok || !tracked.stop() {/@a stop resets connections that wait to be accepted
 TestShutdownAnswersARequestThatIsBeingRead@internal/callerconn/conn.go@s/c.idleSince.IsZero\(\) \|\| //@a connection of which a request is read is closed as idle
 TestRequestsThatAShutdownAbortsAreAnswered@internal/gateway/gateway.go@s/\tclose\(g.aborting\)\n//@requests in flight at the end of a stop are cut
