Connections of callers are limited, and the one whose end costs least makes room

Cause: nothing bounded the connections of callers against the descriptors that servers, the store and hosts need. Ruled out: refusing newcomers (a crowd that holds still locks callers out); leaving them in the queue of the listener (the kernel holds their bytes, for up to 4,096 of them); a time that each connection is kept at least (1,500 connections within it locked out the ordinary request); counting the wait for memory as the caller's (TestCrowdThatComesBack). Change: half of the descriptors that are not kept for files, one connection for 192 KB of memory at most. A new one closes another: answered for the last time, unfinished or unread for a second, idle, unfinished; never one whose request is served. Settings max_connections and max_descriptors, which the template fills in; reasons displaced and no_room.

--- a/evict/evict.go
+++ b/evict/evict.go
@@ -39,3 +39,43 @@
 	}
 	return victim, max(0, Tenure-requests[victim].Age)
 }
+
+// Patience is how long a caller may leave a request unfinished before its connection is closed ahead of idle ones, which
+// cost their callers less.
+const Patience = time.Second
+
+// Connection is an open connection.
+type Connection struct {
+	// Busy is set while a whole request is served, Ended once the last answer was given, Idle while callers may keep the
+	// connection for another request.
+	Busy, Ended, Idle bool
+	// Waiting is how long the host has waited for the caller to send a whole request, or to read its answer.
+	Waiting time.Duration
+}
+
+// rank orders connections by how little their end costs their callers; 0 is the least.
+func (c Connection) rank() int {
+	switch {
+	case c.Ended:
+		return 0
+	case !c.Idle && c.Waiting >= Patience:
+		return 1
+	case c.Idle:
+		return 2
+	}
+	return 3
+}
+
+// ForConnection returns the index of the connection that makes room for a new one, or -1 if the new one must be refused.
+func ForConnection(connections []Connection) int {
+	victim := -1
+	for i, c := range connections {
+		if c.Busy {
+			continue
+		}
+		if victim < 0 || c.rank() < connections[victim].rank() || c.rank() == connections[victim].rank() && c.Waiting > connections[victim].Waiting {
+			victim = i
+		}
+	}
+	return victim
+}
--- a/evict/evict_test.go
+++ b/evict/evict_test.go
@@ -26,3 +26,27 @@
 		assert.Check(t, victim == test.victim && wait == test.wait, "%s: %d after %v", name, victim, wait)
 	}
 }
+
+// Connections whose end costs their callers least must go first, and a request that may run never.
+func TestForConnectionChoosesWhatCostsLeast(t *testing.T) {
+	busy, ended := Connection{Busy: true, Waiting: time.Hour}, Connection{Ended: true}
+	idle, longIdle := Connection{Idle: true, Waiting: time.Second}, Connection{Idle: true, Waiting: time.Minute}
+	stalled, longStalled := Connection{Waiting: Patience}, Connection{Waiting: time.Minute}
+	sending, fresh := Connection{Waiting: Patience / 2}, Connection{}
+	for name, test := range map[string]struct {
+		connections []Connection
+		victim      int
+	}{
+		"none":                   {nil, -1},
+		"all are busy":           {[]Connection{busy, busy}, -1},
+		"all have just begun":    {[]Connection{busy, fresh, sending}, 2},
+		"ended before stalled":   {[]Connection{longStalled, ended}, 1},
+		"stalled before idle":    {[]Connection{longIdle, stalled, idle}, 1},
+		"idle before sending":    {[]Connection{sending, busy, idle}, 2},
+		"sending at last":        {[]Connection{fresh, sending}, 1},
+		"the longest of stalled": {[]Connection{stalled, longStalled, stalled}, 1},
+		"the longest of idle":    {[]Connection{idle, longIdle}, 1},
+	} {
+		assert.Check(t, ForConnection(test.connections) == test.victim, name)
+	}
+}
--- a/internal/callerconn/end.go
+++ b/internal/callerconn/end.go
@@ -36,13 +36,17 @@
 	HeadTooLarge
 	// Memory: this host ended a request that was being read, to make room for others.
 	Memory
+	// Displaced: this host closed it before a whole request was read, to make room for another connection.
+	Displaced
+	// NoRoom: this host closed it at once, as no other connection could make room for it.
+	NoRoom
 	// Closed: this host closed it after a response, or instead of one.
 	Closed
 )
 
 // String returns the name used in logs and metrics.
 func (e End) String() string {
-	return [...]string{"unknown", "open", "end_of_file", "reset", "deadline", "broken", "idle", "stopping", "head_too_large", "memory", "closed"}[e]
+	return [...]string{"unknown", "open", "end_of_file", "reset", "deadline", "broken", "idle", "stopping", "head_too_large", "memory", "displaced", "no_room", "closed"}[e]
 }
 
 // FromContext returns why the connection of a request ended. It is known before the context of the
--- a/internal/callerconn/memory.go
+++ b/internal/callerconn/memory.go
@@ -262,6 +262,13 @@
 	m.arrange()
 }
 
+// ageOf returns for how long the host has waited for the caller of a request.
+func (m *requestMemory) ageOf(s *share, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return s.age(now)
+}
+
 // taken returns the memory that all requests hold, in bytes.
 func (m *requestMemory) taken() int64 {
 	m.mu.Lock()
@@ -288,11 +295,13 @@
 	if evicted := memory.noteWhole(s, err == nil); evicted != nil {
 		err = evicted
 	}
+	if err == nil {
+		err = c.noteWhole()
+	}
 	if err != nil {
 		c.releaseShare() // Others must not wait until the caller has read the refusal.
 		return nil, err
 	}
-	c.noteWhole()
 	return body, nil
 }
 
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -51,6 +51,8 @@
 	// Memory limits the memory of the requests that are read and served at once, in bytes, beyond what small ones
 	// take; 0 is no limit.
 	Memory int64
+	// MaxConns is the number of connections that are kept open at once; 0 is no limit.
+	MaxConns int
 	// OnRefusal is called for each request that is refused while it is read, and each connection that is closed to limit
 	// their number. It must not block.
 	OnRefusal func(Refusal)
@@ -78,11 +80,15 @@
 	c.share = &share{conn: c, began: time.Now()}
 }
 
-// noteWhole records that a request was read whole.
-func (c *Conn) noteWhole() {
+// noteWhole records that a request was read whole. It returns ErrEvicted if the connection was closed before.
+func (c *Conn) noteWhole() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return ErrEvicted
+	}
 	c.phase = serving
+	return nil
 }
 
 // countHead counts bytes of a head. c.mu is held.
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -88,6 +88,9 @@
 		stopping := l.beginAccept()
 		conn, err := l.Listener.Accept()
 		switch {
+		case err == nil && !l.tracker.admit():
+			l.tracker.turnAway(conn)
+			continue
 		case err == nil:
 			return l.track(conn), nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"syscall"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/mallowgap/mallowgap/api/settingspb"
@@ -14,6 +16,12 @@
 	// requestMemoryDivisor is the part of the host's memory that requests of callers may take by default, as a divisor:
 	// the collector lets garbage grow to as much again, and connections and the kernel's buffers take more.
 	requestMemoryDivisor = 8
+	// connectionMemory is the memory that a connection of a caller may take besides that limit, in bytes: the buffers of
+	// net/http and the kernel, stacks, and the allowance of a request.
+	connectionMemory = 192 << 10
+	// fileDescriptors is the number of descriptors that are kept for files and listeners. Callers get half of the others:
+	// the store, servers and other hosts need the rest.
+	fileDescriptors = 200
 	// receiveBuffer limits what the kernel keeps unread of a caller's connection, in bytes. It counts toward the
 	// host's memory.
 	receiveBuffer = 16 << 10
@@ -34,12 +42,13 @@
 	limits := callerconn.Limits{
 		HeadBytes: func() int { return g.Limits().HeaderBytes },
 		Memory:    requestMemory(g.settings),
+		MaxConns:  maxConnections(g.settings, descriptorLimit(g.settings)),
 		OnRefusal: func(r callerconn.Refusal) {
 			lines.Info().Str("reason", r.Reason.String()).Str("caller", r.Caller.String()).Int64("head_bytes", r.HeadBytes).
 				Int64("held", r.Held).Dur("age", r.Age).Msg("caller refused before its request was read")
 		},
 	}
-	g.log.Info().Int64("request_memory", limits.Memory).Msg("limits of callers")
+	g.log.Info().Int64("request_memory", limits.Memory).Int("connections", limits.MaxConns).Msg("limits of callers")
 	return limits
 }
 
@@ -51,6 +60,31 @@
 	return int64(s.GetHost().GetMemoryMb()) * mb / requestMemoryDivisor
 }
 
+// maxConnections returns the limit of the number of callers' connections.
+func maxConnections(s *settingspb.Gateway, descriptors int) int {
+	if set := s.GetListen().GetMaxConnections(); set > 0 {
+		return int(set)
+	}
+	byMemory := int(s.GetHost().GetMemoryMb()) * mb / connectionMemory
+	return max(1, min(byMemory, (descriptors-fileDescriptors)/2))
+}
+
+// descriptorLimit returns how many descriptors the process may open.
+func descriptorLimit(s *settingspb.Gateway) int {
+	limit := int(s.GetHost().GetMaxDescriptors())
+	var system syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system); err != nil || system.Cur > maxDescriptors {
+		system.Cur = maxDescriptors
+	}
+	if limit == 0 || int(system.Cur) < limit {
+		limit = int(system.Cur)
+	}
+	return limit
+}
+
+// maxDescriptors is the limit that is assumed where the system has none.
+const maxDescriptors = 1 << 20
+
 // observeCallers updates the gauges of what callers take.
 func observeCallers(conns *callerconn.Tracker) {
 	callerMemory.Set(float64(conns.MemoryTaken()))
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -27,7 +27,7 @@
 // platformFields are example values of the fields that the platform substitutes in the
 // template.
 var platformFields = map[string]string{
-	"node": "front-a-1", "zone": "hall-a", "region": "palermo", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "limits.ram_mb": "284",
+	"node": "front-a-1", "zone": "hall-a", "region": "palermo", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "limits.ram_mb": "284", "limits.max_fds": "4100",
 	"listen.front": "10.1.0.9:8104", "listen.ready": "10.1.0.9:8108", "listen.control": "10.1.0.9:8106", "ip": "10.1.0.9", "port_range.0": "7380",
 	"platform.addr": "10.200.1.7:8102", "beat_ms": "1200", "seed_addrs": "10.1.0.9:8106,10.2.0.21:8106",
 	"rule_params.cold_excess": "1.5", "rule_params.cold_slack": "5",
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -244,6 +244,10 @@
 TestRequestsThatHaveJustBegunAreKept@internal/callerconn/memory.go@s/if err := grow\(length\); err != nil \{\n\t\treturn nil, err\n\t\}\n\treturn memlimit.ReadUpTo\(body, length, min\(length, bodyBuffer\), func\(int64\) error \{ return nil \}\)/return memlimit.ReadUpTo(body, length, min(length, bodyBuffer), grow)/@the memory of an announced body is taken piece by piece
 TestMemoryIsFreeAfterEachRequest@internal/callerconn/conn.go@s/\tc.releaseShare\(\)\n\tif end, first/\tif end, first/@the memory of a caller that left is never free
 TestForMemoryChoosesWhoHoldsMostForLongest@evict/evict.go@s/float64\(r.Held\) \* float64\(r.Age\)/float64(r.Held)/@who holds for long stays
+TestSilentConnectionsMakeRoom@internal/callerconn/tracker.go@s/err == nil && !l.tracker.admit\(\)/false/@connections have no limit
+TestServedConnectionsAreKept@evict/evict.go@s/if c.Busy \{\n\t\t\tcontinue\n\t\t\}//@a connection whose request is served makes room
+TestUnreadAnswerMakesRoom@internal/callerconn/room.go@s/return !c.writeSince.IsZero\(\) && /return false \&\& /@callers that do not read keep their connections
+TestIdleConnectionMakesRoom@internal/callerconn/room.go@s/connections\[victim\].Idle && open < /false \&\& open < /@an idle connection is closed under a request on its way
 TestStoppingListenerAcceptsWhatWaits@internal/callerconn/tracker.go@s/if !ok \|\| !tracked.stop\(\) \{/if ok || !tracked.stop() {/@a stop resets connections that wait to be accepted
 TestShutdownAnswersARequestThatIsBeingRead@internal/callerconn/conn.go@s/c.idleSince.IsZero\(\) \|\| //@a connection of which a request is read is closed as idle
 TestRequestsThatAShutdownAbortsAreAnswered@internal/gateway/gateway.go@s/\tclose\(g.aborting\)\n//@requests in flight at the end of a stop are cut
