--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -236,16 +236,17 @@
 TestPanicBeforeSendingReleasesTheSlot@internal/gateway/serve.go@s/\tq.abandonUnsent\(\)\n//@a panic before sending keeps slots taken
 TestPanicWhileARequestIsServedIsAnswered@platform/caller.go@s/\t\tdefer recoverHandler\(.*\)\n//@a panic closes the connection of the caller
 TestPanicOfAListenerDoesNotEndTheControlState@internal/control/state.go@s/s.contain\("change of servers", func\(\) \{ (.*) \}\)\n/$1\n/@a panic in the request path keeps the state from being published
-TestHeadWithoutEndIsRefused@internal/callerconn/request.go@s/ && c.headBytes > c.headLimit\+readAhead/ \&\& false/@a head has no limit while it is read
-TestLimitOfAHeadIsThatOfOneRequest@internal/callerconn/conn.go@s/\tc.phase = awaiting\n\tif/\tif/@heads of further requests have no beginning
-TestStalledRequestsMakeRoom@internal/callerconn/memory.go@s/\tm.evict\(shares\[victim\], requests\[victim\]\)/\tm.evict(first.share, requests[victim])/@requests that hold still keep their memory
+TestHeadWithoutEndIsRefused@internal/callerconn/request.go@s/c.headBytes > c.headLimit\+readAhead/false/@a head has no limit while it is read
+TestLowerLimitOfAHeadCountsFromTheNextRequest@internal/callerconn/conn.go@s/\tc.phase = awaiting\n\tif/\tif/@heads of further requests have no beginning
+TestStalledRequestsMakeRoom@internal/callerconn/memory.go@s/\tm.evict\(shares\[victim\], requests\[victim\]\)/\t_ = shares\n\t\tm.evict(first.share, requests[victim])/@requests that hold still keep their memory
 TestServedRequestsAreKept@internal/callerconn/memory.go@s/s.whole \|\| s.evicted/s.evicted/@a request that may run is refused
-TestServedRequestsAreKept@internal/callerconn/memory.go@s/left = evict.Tenure - now.Sub\(first.since\)/left = time.Hour/@a request waits for memory that served ones hold
+TestServedRequestsAreKept@internal/callerconn/memory.go@s/left = evict.Tenure - min\(now.Sub\(first.since\), now.Sub\(m.stuckSince\)\)/left = time.Hour/@a request waits for memory that served ones hold
 TestRequestsThatHaveJustBegunAreKept@internal/callerconn/memory.go@s/if err := grow\(length\); err != nil \{\n\t\treturn nil, err\n\t\}\n\treturn memlimit.ReadUpTo\(body, length, min\(length, bodyBuffer\), func\(int64\) error \{ return nil \}\)/return memlimit.ReadUpTo(body, length, min(length, bodyBuffer), grow)/@the memory of an announced body is taken piece by piece
 TestMemoryIsFreeAfterEachRequest@internal/callerconn/conn.go@s/\tc.releaseShare\(\)\n\tif end, first/\tif end, first/@the memory of a caller that left is never free
 TestForMemoryChoosesWhoHoldsMostForLongest@evict/evict.go@s/float64\(r.Held\) \* float64\(r.Age\)/float64(r.Held)/@who holds for long stays
 TestSilentConnectionsMakeRoom@internal/callerconn/tracker.go@s/err == nil && !l.tracker.admit\(\)/false/@connections have no limit
-TestServedConnectionsAreKept@evict/evict.go@s/if c.Busy \{\n\t\t\tcontinue\n\t\t\}//@a connection whose request is served makes room
+TestForConnectionChoosesWhatCostsLeast@evict/evict.go@s/if c.Busy \{\n\t\t\tcontinue\n\t\t\}//@a connection whose request is served makes room
+TestServedConnectionsAreKept@evict/evict.go internal/callerconn/room.go@s/if c.Busy \{\n\t\t\tcontinue\n\t\t\}//; s/if c.phase == serving && /if false \&\& /@a connection whose request is served is closed
 TestUnreadAnswerMakesRoom@internal/callerconn/room.go@s/return !c.writeSince.IsZero\(\) && /return false \&\& /@callers that do not read keep their connections
 TestIdleConnectionMakesRoom@internal/callerconn/room.go@s/connections\[victim\].Idle && open < /false \&\& open < /@an idle connection is closed under a request on its way
 TestStoppingListenerAcceptsWhatWaits@internal/callerconn/tracker.go@s/if !ok \|\| !tracked.stop\(\) \{/if ok || !tracked.stop() {/@a stop resets connections that wait to be accepted
