A caller that does not read its answer does not keep the memory of its request

What callers could see: 503 for requests with bodies, for up to 30 s, beside callers that send large requests and do not read the answers. Cause: the memory of a request counted until its response had been written. Ruled out: a shorter time-out of writes, which would cut answers to slow callers.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -112,14 +112,17 @@
 	if c.isRefused() {
 		return 0, errRefused // net/http has an answer of its own to a head that it cannot parse.
 	}
-	c.beginWrite()
+	if c.beginWrite() {
+		c.releaseShare() // The request has been served: a caller that does not read its answer must not keep its memory.
+	}
 	n, err := c.Conn.Write(p)
 	c.noteWritten(err)
 	return n, err
 }
 
-// beginWrite limits the time of a write. The deadline of an earlier one does not apply to it.
-func (c *Conn) beginWrite() {
+// beginWrite limits the time of a write. The deadline of an earlier one does not apply to it. It reports whether the
+// response to a request that was read whole is written.
+func (c *Conn) beginWrite() (served bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readSinceWrite, c.writeSince = false, time.Now()
@@ -130,6 +133,7 @@
 	if timeout > 0 {
 		_ = c.Conn.SetWriteDeadline(c.writeSince.Add(timeout)) // A connection that fails here fails the write too.
 	}
+	return c.phase == serving
 }
 
 // noteWritten records the result of a write.
--- a/internal/callerconn/memory_test.go
+++ b/internal/callerconn/memory_test.go
@@ -223,3 +223,16 @@
 		assert.Equal(t, conns.MemoryTaken(), int64(0))
 	})
 }
+
+// A caller that does not read its answer must not keep the memory of its request from others.
+func TestUnreadAnswerFreesMemory(t *testing.T) {
+	serveMemory(t, func(t *testing.T, l *callertest.Listener) {
+		for range 2 * memoryLimit / bodyLimit {
+			assert.NilError(t, l.Dial().Send(post("/", bodyLimit, 0)))
+			synctest.Wait()
+		}
+		began := time.Now()
+		assert.NilError(t, l.Dial().Exchange(post("/", bodyLimit, 0)))
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -240,9 +240,10 @@
 TestLowerLimitOfAHeadCountsFromTheNextRequest@internal/callerconn/conn.go@s/\tc.phase = awaiting\n\tif/\tif/@heads of further requests have no beginning
 TestStalledRequestsMakeRoom@internal/callerconn/memory.go@s/\tm.evict\(shares\[victim\], requests\[victim\]\)/\t_ = shares\n\t\tm.evict(first.share, requests[victim])/@requests that hold still keep their memory
 TestServedRequestsAreKept@internal/callerconn/memory.go@s/s.whole \|\| s.evicted/s.evicted/@a request that may run is refused
-TestServedRequestsAreKept@internal/callerconn/memory.go@s/left = evict.Tenure - min\(now.Sub\(first.since\), now.Sub\(m.stuckSince\)\)/left = time.Hour/@a request waits for memory that served ones hold
+TestServedRequestsAreKept@internal/callerconn/memory.go@s/left = evict.Tenure - min\(now.Sub\(first.since\), now.Sub\(m.stuckSince\)\)/left = maxWait - now.Sub(first.since)/@a request waits for memory that served ones hold
 TestRequestsThatHaveJustBegunAreKept@internal/callerconn/memory.go@s/if err := grow\(length\); err != nil \{\n\t\treturn nil, err\n\t\}\n\treturn memlimit.ReadUpTo\(body, length, min\(length, bodyBuffer\), func\(int64\) error \{ return nil \}\)/return memlimit.ReadUpTo(body, length, min(length, bodyBuffer), grow)/@the memory of an announced body is taken piece by piece
 TestMemoryIsFreeAfterEachRequest@internal/callerconn/conn.go@s/\tc.releaseShare\(\)\n\tif end, first/\tif end, first/@the memory of a caller that left is never free
+TestUnreadAnswerFreesMemory@internal/callerconn/conn.go@s/return c.phase == serving/return false/@a caller that does not read keeps the memory of its request
 TestForMemoryChoosesWhoHoldsMostForLongest@evict/evict.go@s/float64\(r.Held\) \* float64\(r.Age\)/float64(r.Held)/@who holds for long stays
 TestSilentConnectionsMakeRoom@internal/callerconn/tracker.go@s/err == nil && !l.tracker.admit\(\)/false/@connections have no limit
 TestForConnectionChoosesWhatCostsLeast@evict/evict.go@s/if c.Busy \{\n\t\t\tcontinue\n\t\t\}//@a connection whose request is served makes room
