--- a/internal/callerconn/memory.go
+++ b/internal/callerconn/memory.go
@@ -2,14 +2,11 @@
 
 import (
 	"errors"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/mallowgap/mallowgap/evict"
-	"github.com/mallowgap/mallowgap/internal/memlimit"
 )
 
 const (
@@ -29,9 +26,10 @@
 // ErrEvicted reports that a request was ended while it was read, to make room for others. No server was sent it.
 var ErrEvicted = errors.New("the requests that are read and served at once take too much memory: send the request again later")
 
-// requestMemory limits the memory of the requests that are read and served. Requests that need more wait, and the one
-// that began first gets it first, so that each gets to its end. Room is made by ending requests that are still being read; a share is free again once its
-// request has ended. It is safe for concurrent use.
+// requestMemory limits the memory of the requests that are read and served. It is safe for concurrent use.
+//
+// Requests that need more wait, and the one that began first gets it first, so that each gets to its end. Room is
+// made by ending requests that are still being read. A share is free again once its request has ended.
 type requestMemory struct {
 	mu sync.Mutex
 	// size is the limit in bytes, 0 for none, and free what of it is not taken.
@@ -135,18 +133,18 @@
 	now := time.Now()
 	requests, shares := m.candidates(now)
 	victim, wait := evict.ForMemory(requests)
-	left := maxWait - now.Sub(first.since)
+	patience := maxWait - now.Sub(first.since)
 	m.noteStuck(victim < 0, now)
 	if victim < 0 {
-		left = evict.Tenure - min(now.Sub(first.since), now.Sub(m.stuckSince))
-		wait = left
+		patience = evict.Tenure - min(now.Sub(first.since), now.Sub(m.stuckSince))
+		wait = patience
 	}
 	switch {
-	case left <= 0:
+	case patience <= 0:
 		last := m.lastToWait()
 		m.evict(last, evict.Request{Held: last.held, Age: last.age(now)})
 	case wait > 0:
-		m.arrangeAt(now.Add(min(wait, left)))
+		m.arrangeAt(now.Add(min(wait, patience)))
 		return false
 	default:
 		m.evict(shares[victim], requests[victim])
@@ -275,44 +273,3 @@
 	defer m.mu.Unlock()
 	return m.size - m.free
 }
-
-// bodyBuffer is the size of the first buffer for a body, in bytes.
-const bodyBuffer = 4 << 10
-
-// ReadBody reads the body of a request within the limit of all requests. It returns a *http.MaxBytesError if the body
-// is larger than limit, at once if its length is announced, and ErrEvicted if the request was ended to make room for others.
-func ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	c, ok := r.Context().Value(connKey{}).(*Conn)
-	if !ok {
-		c = newConn(nil, NewTracker()) // The connection is not tracked, and has no limit.
-		c.begin()
-	}
-	memory, s := c.tracker.memory, c.currentShare()
-	body, err := readBody(http.MaxBytesReader(nil, r.Body, limit), r.ContentLength, limit, func(n int64) error { return memory.grow(s, n) })
-	if evicted := memory.noteWhole(s, err == nil); evicted != nil {
-		err = evicted
-	}
-	if err == nil {
-		err = c.noteWhole()
-	}
-	if err != nil {
-		c.releaseShare() // Others must not wait until the caller has read the refusal.
-		return nil, err
-	}
-	return body, nil
-}
-
-// readBody reads a body. The memory for an announced length is taken at once: requests that get it piece by piece would
-// come to wait for each other. The buffer grows with what has arrived.
-func readBody(body io.Reader, length, limit int64, grow func(n int64) error) ([]byte, error) {
-	if length < 0 {
-		return memlimit.ReadUpTo(body, limit+1, bodyBuffer, grow) // MaxBytesReader reports a body over the limit.
-	}
-	if err := grow(length); err != nil {
-		return nil, err
-	}
-	return memlimit.ReadUpTo(body, length, min(length, bodyBuffer), func(int64) error { return nil })
-}
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -25,6 +25,8 @@
 	// receiveBuffer limits what the kernel keeps unread of a caller's connection, in bytes. It counts toward the
 	// host's memory.
 	receiveBuffer = 16 << 10
+	// maxDescriptors is the limit that is assumed where the system has none.
+	maxDescriptors = 1 << 20
 
 	mb = 1 << 20
 )
@@ -82,9 +84,6 @@
 	return limit
 }
 
-// maxDescriptors is the limit that is assumed where the system has none.
-const maxDescriptors = 1 << 20
-
 // observeCallers updates the gauges of what callers take.
 func observeCallers(conns *callerconn.Tracker) {
 	callerMemory.Set(float64(conns.MemoryTaken()))
