Unfinished messages of an entry host share a limit of memory

What callers could see: an entry host whose process ends for lack of memory, beside callers whose messages stop short of their end. Cause: a message may have 1 MB, and nothing bounded those of all connections. Ruled out: a limit of the number of calls, by which a crowd that holds still locks callers out; a smaller message. Change: the bytes that arrive while a message is unfinished share a limit, by the order and the choice of the gateway; the connection that holds the most for the longest is closed. Setting [host] memory_mb of an entry host. Conclusion: fixed; gateways share the type that decides, whose behaviour is the same (memory is counted under its lock).

--- a/cmd/mallowgap/entry.go
+++ b/cmd/mallowgap/entry.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/mallowgap/mallowgap/api/settingspb"
@@ -31,6 +32,9 @@
 	if err != nil {
 		return fmt.Errorf("[log] level: %w", err)
 	}
+	if memory := file.GetHost().GetMemoryMb(); memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory<<20)))
+	}
 	identity, err := secure.Load(secure.Files{Cert: file.GetTls().GetCert(), Key: file.GetTls().GetKey(), CA: file.GetTls().GetCa()})
 	if err != nil {
 		return err
--- a/internal/callerconn/memory.go
+++ b/internal/callerconn/memory.go
@@ -46,9 +46,15 @@
 	stuckSince time.Time
 }
 
-// share is the memory of one request.
+// evictable is what a share belongs to.
+type evictable interface {
+	// evict makes the request that is being read end, which holds the given memory. It must not block.
+	evict(evict.Request)
+}
+
+// share is the memory of one request, or of the messages that are being read on one connection.
 type share struct {
-	conn *Conn
+	owner evictable
 	// began is when the first byte of the request arrived, and waited how long it waited for memory before the growth
 	// that it waits for now, if any.
 	began   time.Time
@@ -74,31 +80,36 @@
 }
 
 // grow adds n bytes to a share. It waits until they are free, and returns ErrEvicted if the request is ended instead.
-// Only the goroutine that reads the request may call it.
 func (m *requestMemory) grow(s *share, n int64) error {
-	s.total += n
-	missing := s.total - allowance - s.held
-	if m.size == 0 || missing <= 0 {
+	if m.size == 0 {
 		return nil
 	}
-	return <-m.ask(s, missing)
+	if g := m.ask(s, n); g != nil {
+		return <-g.done
+	}
+	return nil
 }
 
-// ask asks for n bytes of the limit and returns what receives the decision.
-func (m *requestMemory) ask(s *share, n int64) <-chan error {
+// ask adds n bytes to a share and returns nil, or the growth to wait for.
+func (m *requestMemory) ask(s *share, n int64) *growth {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	g := &growth{share: s, n: n, since: time.Now(), done: make(chan error, 1)}
+	s.total += n
+	missing := s.total - allowance - s.held
+	if missing <= 0 {
+		return nil
+	}
+	g := &growth{share: s, n: missing, since: time.Now(), done: make(chan error, 1)}
 	if s.evicted || s.released {
 		g.done <- ErrEvicted
-		return g.done
+		return g
 	}
 	m.shares[s] = struct{}{}
 	s.waiting = g
 	at, _ := slices.BinarySearchFunc(m.waiting, g, func(a, b *growth) int { return a.share.began.Compare(b.share.began) })
 	m.waiting = slices.Insert(m.waiting, at, g)
 	m.arrange()
-	return g.done
+	return g
 }
 
 // arrange grants bytes to the requests that wait, in their order, and makes room for the first one. A request that is larger
@@ -218,7 +229,7 @@
 	s.evicted = true
 	m.leaving += s.held
 	m.refuseWaiting(s)
-	s.conn.evict(r)
+	s.owner.evict(r)
 }
 
 // refuseWaiting refuses the growth that a request waits for, if any. m.mu is held.
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -77,7 +77,7 @@
 		return
 	}
 	c.phase, c.headBytes, c.headLimit = readingHead, 0, c.tracker.headLimit()
-	c.share = &share{conn: c, began: time.Now()}
+	c.share = &share{owner: c, began: time.Now()}
 }
 
 // noteWhole records that a request was read whole. It returns ErrEvicted if the connection was closed before.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,12 +21,14 @@
 	"github.com/mallowgap/mallowgap/api/platformpb"
 	"github.com/mallowgap/mallowgap/api/settingspb"
 	"github.com/mallowgap/mallowgap/drain"
+	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/home"
 	"github.com/mallowgap/mallowgap/internal/leaf"
 	"github.com/mallowgap/mallowgap/internal/obs"
 	"github.com/mallowgap/mallowgap/internal/peer"
 	"github.com/mallowgap/mallowgap/internal/platform"
 	"github.com/mallowgap/mallowgap/internal/secure"
+	"github.com/mallowgap/mallowgap/internal/sockopt"
 	"github.com/mallowgap/mallowgap/member"
 	"github.com/mallowgap/mallowgap/once"
 	"github.com/mallowgap/mallowgap/replica"
@@ -48,6 +50,14 @@
 	httpHeaderTimeout = 5 * time.Second
 	httpReadTimeout   = 30 * time.Second
 	maxHTTPHead       = 8 << 10
+	// messageMemoryDivisor is the part of the host's memory that unfinished messages of callers may take, as a divisor.
+	messageMemoryDivisor = 8
+	// defaultMessageMemory is the memory for them, in bytes, if that of the host is not set.
+	defaultMessageMemory = 16 << 20
+	// receiveBuffer limits what the kernel keeps unread of a caller's connection, in bytes.
+	receiveBuffer = 16 << 10
+	// evictionLinesPerSecond limits the log lines of one process about connections that were closed to make room.
+	evictionLinesPerSecond = 5
 )
 
 // Dependencies holds the external dependencies of a daemon.
@@ -258,16 +268,22 @@
 		{&s.peerListener, d.settings.GetListen().GetPeers(), "peers"},
 		{&s.httpListener, d.settings.GetListen().GetHttp(), "http"},
 	} {
-		if *l.target, err = net.Listen("tcp", l.address); err != nil {
+		config := net.ListenConfig{}
+		if l.target == &s.callerListener {
+			config.Control = sockopt.ReceiveBuffer(receiveBuffer)
+		}
+		if *l.target, err = config.Listen(ctx, "tcp", l.address); err != nil {
 			return nil, fmt.Errorf("[listen] %s: %w: choose a free address of this host", l.key, err)
 		}
 	}
+	messages := d.newMessages()
+	s.callerListener = messages.Listen(s.callerListener)
 	s.peerListener = d.identity.Listener(s.peerListener, true)
 	s.httpListener = d.identity.Listener(s.httpListener, false)
 	s.callerServer = grpc.NewServer(
 		grpc.Creds(d.identity.ServerCredentials()),
 		grpc.MaxRecvMsgSize(int(d.settings.GetListen().GetMaxMessageBytes())),
-		grpc.StatsHandler(refusedCallCounter{}),
+		grpc.StatsHandler(callWatcher{messages}),
 		grpc.UnaryInterceptor(d.recoverUnary),
 		grpc.StreamInterceptor(d.recoverStream),
 	)
@@ -283,6 +299,18 @@
 	return s, nil
 }
 
+// newMessages returns the limit of the messages of callers.
+func (d *Daemon) newMessages() *callerconn.Messages {
+	lines := obs.RateLimited(d.log, evictionLinesPerSecond)
+	memory := int64(defaultMessageMemory)
+	if set := d.settings.GetHost().GetMemoryMb(); set > 0 {
+		memory = int64(set) << 20 / messageMemoryDivisor
+	}
+	return callerconn.NewMessages(memory, func(r callerconn.Refusal) {
+		lines.Info().Str("reason", r.Reason.String()).Str("caller", r.Caller.String()).Int64("held", r.Held).Dur("age", r.Age).Msg("connection of a caller closed to make room for others")
+	})
+}
+
 func (s *servers) serve() {
 	go func() { _ = s.callerServer.Serve(s.callerListener) }()
 	go func() { _ = s.peerServer.Serve(s.ctx, s.peerListener) }()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
+	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/obs"
 )
 
@@ -31,19 +32,37 @@
 	return e
 }
 
-// refusedCallCounter counts gRPC calls that end with an error, such as messages that
-// are too large or cannot be decoded.
-type refusedCallCounter struct{}
+// callWatcher counts gRPC calls that end with an error, such as messages that are too large or cannot be
+// decoded, and tells which messages are being read.
+type callWatcher struct{ messages *callerconn.Messages }
+
+// messageEnd is the key of the function that ends the reading of a call's message in its context.
+type messageEnd struct{}
 
 // TagRPC implements stats.Handler.
-func (refusedCallCounter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
-	return ctx
+func (w callWatcher) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
+	return context.WithValue(ctx, messageEnd{}, w.messages.Reading(ctx))
 }
 
 // HandleRPC implements stats.Handler.
-func (refusedCallCounter) HandleRPC(_ context.Context, event stats.RPCStats) {
-	end, ok := event.(*stats.End)
-	if !ok || end.Error == nil {
+func (callWatcher) HandleRPC(ctx context.Context, event stats.RPCStats) {
+	switch event := event.(type) {
+	case *stats.InPayload:
+		endMessage(ctx)
+	case *stats.End:
+		endMessage(ctx)
+		countRefused(event)
+	}
+}
+
+func endMessage(ctx context.Context) {
+	if end, ok := ctx.Value(messageEnd{}).(func()); ok {
+		end()
+	}
+}
+
+func countRefused(end *stats.End) {
+	if end.Error == nil {
 		return
 	}
 	code := status.Code(end.Error)
@@ -54,9 +73,9 @@
 }
 
 // TagConn implements stats.Handler.
-func (refusedCallCounter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
-	return ctx
+func (w callWatcher) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
+	return w.messages.TagConn(ctx, info.RemoteAddr)
 }
 
 // HandleConn implements stats.Handler.
-func (refusedCallCounter) HandleConn(context.Context, stats.ConnStats) {}
+func (callWatcher) HandleConn(context.Context, stats.ConnStats) {}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -243,6 +243,8 @@
 TestServedRequestsAreKept@internal/callerconn/memory.go@s/patience = evict.Tenure - min\(now.Sub\(first.since\), now.Sub\(m.stuckSince\)\)/patience = maxWait - now.Sub(first.since)/@a request waits for memory that served ones hold
 TestRequestsThatHaveJustBegunAreKept@internal/callerconn/body.go@s/if err := grow\(length\); err != nil \{\n\t\treturn nil, err\n\t\}\n\treturn memlimit.ReadUpTo\(body, length, min\(length, bodyBuffer\), func\(int64\) error \{ return nil \}\)/return memlimit.ReadUpTo(body, length, min(length, bodyBuffer), grow)/@the memory of an announced body is taken piece by piece
 TestMemoryIsFreeAfterEachRequest@internal/callerconn/conn.go@s/\tc.releaseShare\(\)\n\tif end, first/\tif end, first/@the memory of a caller that left is never free
+TestUnfinishedMessagesMakeRoom@internal/callerconn/messages.go@s/s != nil && c.messages.memory.grow\(s, int64\(n\)\) != nil && /s != nil \&\& /@unfinished messages have no limit
+TestFinishedMessagesTakeNothing@internal/callerconn/messages.go@s/if c.reading--; c.reading > 0 \{/if c.reading--; c.reading >= 0 {/@finished messages count
 TestUnreadAnswerFreesMemory@internal/callerconn/conn.go@s/return c.phase == serving/return false/@a caller that does not read keeps the memory of its request
 TestForMemoryChoosesWhoHoldsMostForLongest@evict/evict.go@s/float64\(r.Held\) \* float64\(r.Age\)/float64(r.Held)/@who holds for long stays
 TestSilentConnectionsMakeRoom@internal/callerconn/tracker.go@s/err == nil && !l.tracker.admit\(\)/false/@connections have no limit
