Requests of fast callers get memory before those of slow ones

Cause: memory went to the request that began first. 600 bodies in chunks of one byte, slow as the host had little processor time, asked step by step ahead of the ordinary one until the second was over after which it is refused. Ruled out: a longer wait; less time until a request can be evicted (their ages were far beyond it).

--- a/evict/evict.go
+++ b/evict/evict.go
@@ -21,6 +21,10 @@
 	Age time.Duration
 }
 
+// Turn returns the order in which requests that wait get memory, the lowest first: those for whose callers the host has waited
+// least, and that end soonest. Requests of one turn get it in the order in which they began.
+func Turn(age time.Duration) int { return int(age / Tenure) }
+
 // ForMemory returns the index of the request that makes room for others, the one that holds the most for the
 // longest, and how long to wait until it may be ended. The index is -1 if there is none.
 //
--- a/evict/evict_test.go
+++ b/evict/evict_test.go
@@ -27,6 +27,12 @@
 	}
 }
 
+// A caller that sends without pause must not wait behind a crowd that is slow.
+func TestTurnPutsSlowCallersLast(t *testing.T) {
+	assert.Equal(t, Turn(Tenure/2), Turn(0))
+	assert.Assert(t, Turn(2*Tenure) > Turn(Tenure/2))
+}
+
 // Connections whose end costs their callers least must go first, and a request that may run never.
 func TestForConnectionChoosesWhatCostsLeast(t *testing.T) {
 	busy, ended := Connection{Busy: true, Waiting: time.Hour}, Connection{Ended: true}
--- a/internal/callerconn/memory.go
+++ b/internal/callerconn/memory.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"sync"
@@ -28,8 +29,9 @@
 
 // requestMemory limits the memory of the requests that are read and served. It is safe for concurrent use.
 //
-// Requests that need more wait, and the one that began first gets it first, so that each gets to its end. Room is
-// made by ending requests that are still being read. A share is free again once its request has ended.
+// Requests that need more wait, in the order of evict.Turn and of their beginning, so that each that is sent without pause
+// gets to its end. Room is made by ending requests that are still being read. A share is free again once its request has
+// ended.
 type requestMemory struct {
 	mu sync.Mutex
 	// size is the limit in bytes, 0 for none, and free what of it is not taken.
@@ -37,7 +39,7 @@
 	// leaving is what evicted requests hold.
 	leaving int64
 	shares  map[*share]struct{}
-	// waiting is ordered by when the requests began.
+	// waiting is in the order in which requests get memory.
 	waiting []*growth
 	// timer calls arrange at wakeAt, when a request that may not be evicted yet can be.
 	timer  *time.Timer
@@ -71,6 +73,8 @@
 	share *share
 	n     int64
 	since time.Time
+	// turn is that of the request, whose age does not grow while it waits.
+	turn int
 	// done receives nil once the bytes are granted, or ErrEvicted.
 	done chan error
 }
@@ -99,19 +103,24 @@
 	if missing <= 0 {
 		return nil
 	}
-	g := &growth{share: s, n: missing, since: time.Now(), done: make(chan error, 1)}
+	now := time.Now()
+	g := &growth{share: s, n: missing, since: now, turn: evict.Turn(s.age(now)), done: make(chan error, 1)}
 	if s.evicted || s.released {
 		g.done <- ErrEvicted
 		return g
 	}
 	m.shares[s] = struct{}{}
 	s.waiting = g
-	at, _ := slices.BinarySearchFunc(m.waiting, g, func(a, b *growth) int { return a.share.began.Compare(b.share.began) })
+	at, _ := slices.BinarySearchFunc(m.waiting, g, compareTurns)
 	m.waiting = slices.Insert(m.waiting, at, g)
 	m.arrange()
 	return g
 }
 
+func compareTurns(a, b *growth) int {
+	return cmp.Or(cmp.Compare(a.turn, b.turn), a.share.began.Compare(b.share.began))
+}
+
 // arrange grants bytes to the requests that wait, in their order, and makes room for the first one. A request that is larger
 // than the limit gets what it needs if no other holds any. m.mu is held.
 func (m *requestMemory) arrange() {
@@ -174,8 +183,8 @@
 	}
 }
 
-// lastToWait returns the request that began last of those that wait and hold memory, or the first one that waits if none
-// does. m.mu is held.
+// lastToWait returns the last request of those that wait and hold memory, or the first one that waits if no other holds
+// any. m.mu is held.
 func (m *requestMemory) lastToWait() *share {
 	for i := len(m.waiting) - 1; i > 0; i-- {
 		if m.waiting[i].share.held > 0 {
--- a/internal/callerconn/memory_test.go
+++ b/internal/callerconn/memory_test.go
@@ -236,3 +236,34 @@
 		assert.Equal(t, time.Since(began), time.Duration(0))
 	})
 }
+
+// ownerless stands for a connection in tests of the memory alone.
+type ownerless struct{}
+
+func (ownerless) evict(evict.Request) {}
+
+// A caller that sends without pause must get memory before those that began earlier and send slowly.
+func TestFastRequestGoesBeforeSlowOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newRequestMemory(memoryLimit)
+		served := &share{owner: ownerless{}, began: time.Now()}
+		assert.NilError(t, m.grow(served, memoryLimit+allowance))
+		assert.NilError(t, m.noteWhole(served, true))
+		slow := &share{owner: ownerless{}, began: time.Now()}
+		time.Sleep(2 * evict.Tenure)
+		fast := &share{owner: ownerless{}, began: time.Now()}
+		order := make(chan string, 2)
+		for name, s := range map[string]*share{"slow": slow, "fast": fast} {
+			go func() {
+				if m.grow(s, memoryLimit+allowance) == nil {
+					order <- name
+					m.release(s)
+				}
+			}()
+		}
+		synctest.Wait()
+		m.release(served)
+		assert.Equal(t, <-order, "fast")
+		assert.Equal(t, <-order, "slow")
+	})
+}
