The test of finished messages fails without its guard

Cause: a connection that is alone may exceed the limit, so the mutant that counts finished messages survived. Change: another connection holds some memory beside.

--- a/internal/callerconn/messages_test.go
+++ b/internal/callerconn/messages_test.go
@@ -82,6 +82,9 @@
 func TestFinishedMessagesTakeNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := NewMessages(memoryLimit, func(Refusal) { t.Error("a connection was closed") })
+		other := newMessageCaller(m, 2) // One that is alone may exceed the limit.
+		_, err := other.Write(make([]byte, 2*allowance))
+		assert.NilError(t, err)
 		c := newMessageCaller(m, 1)
 		for range 10 {
 			_, err := c.Write(make([]byte, bodyLimit))
@@ -91,7 +94,7 @@
 			c.end()
 			c.end = m.Reading(m.TagConn(t.Context(), c.server.RemoteAddr()))
 		}
-		_ = c.Close()
+		_, _ = c.Close(), other.Close()
 		synctest.Wait()
 		assert.Equal(t, m.memory.taken(), int64(0))
 		assert.Equal(t, len(m.conns), 0)
