--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -109,10 +109,11 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.isRefused() {
-		return 0, errRefused // net/http has an answer of its own to a head that it cannot parse.
+	served, err := c.beginWrite()
+	if err != nil {
+		return 0, err // net/http has an answer of its own to a head that it cannot parse.
 	}
-	if c.beginWrite() {
+	if served {
 		c.releaseShare() // The request has been served: a caller that does not read its answer must not keep its memory.
 	}
 	n, err := c.Conn.Write(p)
@@ -121,10 +122,13 @@
 }
 
 // beginWrite limits the time of a write. The deadline of an earlier one does not apply to it. It reports whether the
-// response to a request that was read whole is written.
-func (c *Conn) beginWrite() (served bool) {
+// response to a request that was read whole is written, and fails if the request was refused and thereby answered.
+func (c *Conn) beginWrite() (served bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == refused {
+		return false, errRefused
+	}
 	c.readSinceWrite, c.writeSince = false, time.Now()
 	timeout := c.tracker.writeTimeout
 	if c.evicted {
@@ -133,7 +137,7 @@
 	if timeout > 0 {
 		_ = c.Conn.SetWriteDeadline(c.writeSince.Add(timeout)) // A connection that fails here fails the write too.
 	}
-	return c.phase == serving
+	return c.phase == serving, nil
 }
 
 // noteWritten records the result of a write.
--- a/internal/callerconn/request.go
+++ b/internal/callerconn/request.go
@@ -174,13 +174,6 @@
 	return Refusal{Reason: c.end, Caller: c.RemoteAddr(), HeadBytes: c.headBytes}, !c.evicted
 }
 
-// isRefused reports whether a request was refused on the connection.
-func (c *Conn) isRefused() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == refused
-}
-
 // evict makes the request that is being read end, which holds the given memory.
 func (c *Conn) evict(r evict.Request) {
 	c.mu.Lock()
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -28,7 +28,6 @@
 	"github.com/mallowgap/mallowgap/internal/peer"
 	"github.com/mallowgap/mallowgap/internal/platform"
 	"github.com/mallowgap/mallowgap/internal/secure"
-	"github.com/mallowgap/mallowgap/internal/sockopt"
 	"github.com/mallowgap/mallowgap/member"
 	"github.com/mallowgap/mallowgap/once"
 	"github.com/mallowgap/mallowgap/replica"
@@ -50,12 +49,8 @@
 	httpHeaderTimeout = 5 * time.Second
 	httpReadTimeout   = 30 * time.Second
 	maxHTTPHead       = 8 << 10
-	// messageMemoryDivisor is the part of the host's memory that unfinished messages of callers may take, as a divisor.
-	messageMemoryDivisor = 8
-	// defaultMessageMemory is the memory for them, in bytes, if that of the host is not set.
+	// defaultMessageMemory is the memory for unfinished messages of callers, in bytes, if that of the host is not set.
 	defaultMessageMemory = 16 << 20
-	// receiveBuffer limits what the kernel keeps unread of a caller's connection, in bytes.
-	receiveBuffer = 16 << 10
 	// evictionLinesPerSecond limits the log lines of one process about connections that were closed to make room.
 	evictionLinesPerSecond = 5
 )
@@ -259,21 +254,19 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	s := &servers{log: d.log}
 	var err error
+	if s.callerListener, err = callerconn.ListenTCP(ctx, d.settings.GetListen().GetCallers()); err != nil {
+		return nil, listenError("callers", err)
+	}
 	for _, l := range []struct {
 		target  *net.Listener
 		address string
 		key     string
 	}{
-		{&s.callerListener, d.settings.GetListen().GetCallers(), "callers"},
 		{&s.peerListener, d.settings.GetListen().GetPeers(), "peers"},
 		{&s.httpListener, d.settings.GetListen().GetHttp(), "http"},
 	} {
-		config := net.ListenConfig{}
-		if l.target == &s.callerListener {
-			config.Control = sockopt.ReceiveBuffer(receiveBuffer)
-		}
-		if *l.target, err = config.Listen(ctx, "tcp", l.address); err != nil {
-			return nil, fmt.Errorf("[listen] %s: %w: choose a free address of this host", l.key, err)
+		if *l.target, err = net.Listen("tcp", l.address); err != nil {
+			return nil, listenError(l.key, err)
 		}
 	}
 	messages := d.newMessages()
@@ -299,12 +292,17 @@
 	return s, nil
 }
 
+// listenError returns the error of a listener, which a key of the settings names.
+func listenError(key string, err error) error {
+	return fmt.Errorf("[listen] %s: %w: choose a free address of this host", key, err)
+}
+
 // newMessages returns the limit of the messages of callers.
 func (d *Daemon) newMessages() *callerconn.Messages {
 	lines := obs.RateLimited(d.log, evictionLinesPerSecond)
 	memory := int64(defaultMessageMemory)
 	if set := d.settings.GetHost().GetMemoryMb(); set > 0 {
-		memory = int64(set) << 20 / messageMemoryDivisor
+		memory = int64(set) << 20 / callerconn.MemoryDivisor
 	}
 	return callerconn.NewMessages(memory, func(r callerconn.Refusal) {
 		lines.Info().Str("reason", r.Reason.String()).Str("caller", r.Caller.String()).Int64("held", r.Held).Dur("age", r.Age).Msg("connection of a caller closed to make room for others")
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -13,18 +13,12 @@
 const (
 	// refusalLinesPerSecond limits the log lines of one process about requests that were refused while they were read.
 	refusalLinesPerSecond = 5
-	// requestMemoryDivisor is the part of the host's memory that requests of callers may take by default, as a divisor:
-	// the collector lets garbage grow to as much again, and connections and the kernel's buffers take more.
-	requestMemoryDivisor = 8
 	// connectionMemory is the memory that a connection of a caller may take besides that limit, in bytes: the buffers of
 	// net/http and the kernel, stacks, and the allowance of a request.
 	connectionMemory = 192 << 10
 	// fileDescriptors is the number of descriptors that are kept for files and listeners. Callers get half of the others:
 	// the store, servers and other hosts need the rest.
 	fileDescriptors = 200
-	// receiveBuffer limits what the kernel keeps unread of a caller's connection, in bytes. It counts toward the
-	// host's memory.
-	receiveBuffer = 16 << 10
 	// maxDescriptors is the limit that is assumed where the system has none.
 	maxDescriptors = 1 << 20
 
@@ -59,7 +53,7 @@
 	if set := s.GetListen().GetRequestMemoryMb(); set > 0 {
 		return int64(set) * mb
 	}
-	return int64(s.GetHost().GetMemoryMb()) * mb / requestMemoryDivisor
+	return int64(s.GetHost().GetMemoryMb()) * mb / callerconn.MemoryDivisor
 }
 
 // maxConnections returns the limit of the number of callers' connections.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,7 +18,6 @@
 	"github.com/mallowgap/mallowgap/internal/callerconn"
 	"github.com/mallowgap/mallowgap/internal/pause"
 	"github.com/mallowgap/mallowgap/internal/peer"
-	"github.com/mallowgap/mallowgap/internal/sockopt"
 )
 
 const (
@@ -114,11 +113,11 @@
 		if address == "" {
 			continue
 		}
-		config := net.ListenConfig{}
+		listen := net.Listen
 		if key == "callers" {
-			config.Control = sockopt.ReceiveBuffer(receiveBuffer)
+			listen = listenCallers
 		}
-		listener, err := config.Listen(context.Background(), "tcp", address)
+		listener, err := listen("tcp", address)
 		if err != nil {
 			return nil, fmt.Errorf("[listen] %s: %w: choose a free address of this host", key, err)
 		}
@@ -139,6 +138,11 @@
 	return s, nil
 }
 
+// listenCallers has the form of net.Listen.
+func listenCallers(_, address string) (net.Listener, error) {
+	return callerconn.ListenTCP(context.Background(), address)
+}
+
 // newCallerServer returns the server for the requests of callers.
 func newCallerServer(h http.Handler, headerTimeout time.Duration, conns *callerconn.Tracker) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: writeTimeout, IdleTimeout: maxIdleTime}
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -62,9 +62,6 @@
 	return nil
 }
 
-// Reserved returns the bytes of the budget that the message has.
-func (s *Share) Reserved() int64 { return s.reserved }
-
 // Release returns the share to the budget.
 func (s *Share) Release() {
 	if s.reserved > 0 {
--- a/internal/memlimit/memlimit_test.go
+++ b/internal/memlimit/memlimit_test.go
@@ -12,7 +12,7 @@
 	budget := NewBudget(100)
 	first, second := Share{Budget: budget, Allowance: 10}, Share{Budget: budget, Allowance: 10}
 	assert.NilError(t, first.Grow(90))
-	assert.Equal(t, first.Reserved(), int64(80))
+	assert.Equal(t, first.reserved, int64(80))
 	assert.ErrorIs(t, second.Grow(31), ErrExhausted)
 	assert.NilError(t, second.Grow(30))
 	first.Release()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -246,7 +246,7 @@
 TestUnfinishedMessagesMakeRoom@internal/callerconn/messages.go@s/s != nil && c.messages.memory.grow\(s, int64\(n\)\) != nil && /s != nil \&\& /@unfinished messages have no limit
 TestFinishedMessagesTakeNothing@internal/callerconn/messages.go@s/if c.reading--; c.reading > 0 \{/if c.reading--; c.reading >= 0 {/@finished messages count
 TestFastRequestGoesBeforeSlowOnes@internal/callerconn/memory.go@s/cmp.Or\(cmp.Compare\(a.turn, b.turn\), (.*)\)\n/cmp.Or($1)\n/@slow callers get memory before fast ones
-TestUnreadAnswerFreesMemory@internal/callerconn/conn.go@s/return c.phase == serving/return false/@a caller that does not read keeps the memory of its request
+TestUnreadAnswerFreesMemory@internal/callerconn/conn.go@s/return c.phase == serving, nil/return false, nil/@a caller that does not read keeps the memory of its request
 TestForMemoryChoosesWhoHoldsMostForLongest@evict/evict.go@s/float64\(r.Held\) \* float64\(r.Age\)/float64(r.Held)/@who holds for long stays
 TestSilentConnectionsMakeRoom@internal/callerconn/tracker.go@s/err == nil && !l.tracker.admit\(\)/false/@connections have no limit
 TestForConnectionChoosesWhatCostsLeast@evict/evict.go@s/if c.Busy \{\n\t\t\tcontinue\n\t\t\}//@a connection whose request is served makes room
